Add the workspace of packages, the kernel and the design page

Cause: the project has no code yet. The design page fixes modules, interfaces, state, messages and the behaviour of each part under failure before any module is written.

--- /dev/null
+++ b/ctl/src/main/java/verbenahatch/ctl/package-info.java
@@ -0,0 +1,5 @@
+/** The binary verbenahatchctl. */
+@NullMarked
+package verbenahatch.ctl;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/daemon/src/main/java/verbenahatch/daemon/package-info.java
@@ -0,0 +1,5 @@
+/** The binary verbenahatchd. */
+@NullMarked
+package verbenahatch.daemon;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/fleet/src/main/java/verbenahatch/fleet/ConfigView.java
@@ -0,0 +1,30 @@
+package verbenahatch.fleet;
+
+import java.util.Optional;
+import java.util.function.Consumer;
+import verbenahatch.model.EnvironmentDocument;
+
+/** Gives the configuration in force on this host. */
+public interface ConfigView {
+
+  /**
+   * Returns the document of this host's environment.
+   *
+   * @return the document of the highest generation seen, empty before the first
+   */
+  Optional<EnvironmentDocument> document();
+
+  /**
+   * Returns the targets, availability zones and hosts that drain.
+   *
+   * @return the drains in force
+   */
+  Drains drains();
+
+  /**
+   * Calls a listener after each adoption of a document or of drains.
+   *
+   * @param listener the listener; must not block
+   */
+  void onChange(Consumer<EnvironmentDocument> listener);
+}
--- /dev/null
+++ b/kernel/src/main/java/verbenahatch/kernel/Events.java
@@ -0,0 +1,44 @@
+package verbenahatch.kernel;
+
+import org.tinylog.Logger;
+
+/**
+ * Writes numbered events to the log.
+ *
+ * <p>Each line starts with {@code VH-<number>}. Arguments must never contain a caller's key.
+ */
+public interface Events {
+
+  /**
+   * Returns events that go to tinylog.
+   *
+   * @return a thread-safe writer
+   */
+  static Events tinylog() {
+    return (code, args) -> {
+      String message = "VH-" + code.number() + " " + code.template();
+      switch (code.level()) {
+        case INFO -> Logger.info(message, args);
+        case WARN -> Logger.warn(message, args);
+        default -> Logger.error(message, args);
+      }
+    };
+  }
+
+  /**
+   * Returns events that go nowhere.
+   *
+   * @return a writer that drops each event
+   */
+  static Events none() {
+    return (code, args) -> {};
+  }
+
+  /**
+   * Writes one event.
+   *
+   * @param code the kind of event, not null
+   * @param args the arguments of the template
+   */
+  void log(EventCode code, Object... args);
+}
--- /dev/null
+++ b/kernel/src/main/java/verbenahatch/kernel/KernelEvent.java
@@ -0,0 +1,38 @@
+package verbenahatch.kernel;
+
+/** Events of the kernel. */
+public enum KernelEvent implements EventCode {
+  /** A plug-in has started. */
+  PLUGIN_STARTED(1001, Level.INFO, "plug-in {} started"),
+  /** A plug-in did not start, so the process stops. */
+  PLUGIN_FAILED(1002, Level.ERROR, "plug-in {} failed to start: {}"),
+  /** A resource threw while it was closed. */
+  CLOSE_FAILED(1003, Level.WARN, "a resource failed to close: {}"),
+  /** A periodic task threw; it runs again at its next time. */
+  TASK_FAILED(1004, Level.ERROR, "task {} failed: {}");
+
+  private final int number;
+  private final Level level;
+  private final String template;
+
+  KernelEvent(int number, Level level, String template) {
+    this.number = number;
+    this.level = level;
+    this.template = template;
+  }
+
+  @Override
+  public int number() {
+    return number;
+  }
+
+  @Override
+  public Level level() {
+    return level;
+  }
+
+  @Override
+  public String template() {
+    return template;
+  }
+}
--- /dev/null
+++ b/kernel/src/main/java/verbenahatch/kernel/SystemClock.java
@@ -0,0 +1,19 @@
+package verbenahatch.kernel;
+
+/** Reads the clocks of the Java virtual machine. */
+final class SystemClock implements Clock {
+
+  static final SystemClock INSTANCE = new SystemClock();
+
+  private SystemClock() {}
+
+  @Override
+  public long nanoTime() {
+    return System.nanoTime();
+  }
+
+  @Override
+  public long wallMillis() {
+    return System.currentTimeMillis();
+  }
+}
--- /dev/null
+++ b/model/src/main/java/verbenahatch/model/Settings.java
@@ -0,0 +1,51 @@
+package verbenahatch.model;
+
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Holds the settings of one host.
+ *
+ * @param host the name of the host, unique in the fleet
+ * @param region the region of the host
+ * @param zone the availability zone of the host
+ * @param environment the environment that the host serves, for example {@code production}
+ * @param callers where callers connect
+ * @param admin where operators connect
+ * @param peers where other hosts connect
+ * @param platform the platform's object API
+ * @param fleetSecret the secret that hosts prove to each other, at least 16 characters
+ * @param operators the names of operators by SHA-256 hash, in hex, of their credentials
+ * @param drainSeconds the longest time a graceful stop waits for running requests, in seconds
+ * @param adviceSeconds the time to live of entry advice, in seconds
+ */
+public record Settings(
+    String host,
+    String region,
+    String zone,
+    String environment,
+    Endpoint callers,
+    Endpoint admin,
+    Endpoint peers,
+    Platform platform,
+    String fleetSecret,
+    Map<String, String> operators,
+    int drainSeconds,
+    int adviceSeconds) {
+
+  /**
+   * Names a listening address.
+   *
+   * @param address the IP number to listen on and to give to others
+   * @param port the TCP port, 0 for any free port
+   */
+  public record Endpoint(String address, int port) {}
+
+  /**
+   * Names the platform's object API.
+   *
+   * @param urls base URLs in order of preference
+   * @param timeoutMillis the longest time one call may take, in milliseconds
+   */
+  public record Platform(List<String> urls, int timeoutMillis) {}
+}
--- /dev/null
+++ b/peer/src/main/java/verbenahatch/peer/PeerAddress.java
@@ -0,0 +1,9 @@
+package verbenahatch.peer;
+
+/**
+ * Names the peer port of a host.
+ *
+ * @param address the IP number
+ * @param port the TCP port
+ */
+public record PeerAddress(String address, int port) {}
--- /dev/null
+++ b/release/src/main/java/verbenahatch/release/package-info.java
@@ -0,0 +1,5 @@
+/** Schedules of releases, their evidence, halting and rollback. */
+@NullMarked
+package verbenahatch.release;
+
+import org.jspecify.annotations.NullMarked;
