Divide limits among hosts by exchange of shares

Cause: workspace rates, link caps and region capacity are totals over all hosts. No measurement yet.

--- /dev/null
+++ b/limits/src/main/java/verbenahatch/limits/HeldLimit.java
@@ -0,0 +1,210 @@
+package verbenahatch.limits;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import verbenahatch.kernel.Clock;
+
+/**
+ * Admits work under one limit at this host, at once or after a bounded wait.
+ *
+ * <p>The path that finds tokens takes no lock. Requests that wait are served in order of arrival.
+ */
+final class HeldLimit {
+
+  /**
+   * Longest wait for an urgent exchange. A recall from a third host takes four one-way delays, 140
+   * ms between the regions of the widest fleet; the rest allows for a retransmission.
+   */
+  static final long ADMIT_WAIT_NANOS = 400_000_000L;
+
+  private static final long LONGEST_RETRY_MILLIS = 10_000;
+  private static final Admission ADMITTED = new Admission.Admitted();
+  private static final Admission NOT_FRESH = new Admission.NotFresh();
+
+  /** Outcome of an attempt without waiting. */
+  private enum Attempt {
+    TAKEN,
+    SHORT,
+    NOT_FRESH
+  }
+
+  private record Waiter(long amount, long deadline, CompletableFuture<Admission> answer) {}
+
+  private record Served(Waiter waiter, Admission admission) {}
+
+  private final Clock clock;
+  private final HostLease lease;
+  private final String name;
+  private final LocalBucket bucket;
+  private final DemandEstimate demand;
+  private final Deque<Waiter> waiters = new ArrayDeque<>();
+  private final AtomicLong waiting = new AtomicLong();
+  private volatile LimitSpec spec;
+  private volatile boolean scarce;
+
+  HeldLimit(LimitSpec spec, Clock clock, HostLease lease) {
+    this.name = spec.name();
+    this.spec = spec;
+    this.clock = clock;
+    this.lease = lease;
+    this.bucket = new LocalBucket(spec.kind(), clock.nanoTime());
+    this.demand = new DemandEstimate(clock.nanoTime());
+  }
+
+  String name() {
+    return name;
+  }
+
+  LimitSpec spec() {
+    return spec;
+  }
+
+  void spec(LimitSpec changed) {
+    spec = changed;
+  }
+
+  LocalBucket bucket() {
+    return bucket;
+  }
+
+  /** Returns the millionths of a token that requests wait for. */
+  long waiting() {
+    return waiting.get();
+  }
+
+  void scarce(boolean reported) {
+    scarce = reported;
+  }
+
+  boolean scarce() {
+    return scarce;
+  }
+
+  /** Returns the demand to report: a level for slots, else millionths of a token per second. */
+  long demand(long now) {
+    long perSecond = demand.update(now);
+    return spec.kind() == LimitKind.SLOTS ? bucket.used() : perSecond;
+  }
+
+  /** Takes tokens, or queues until they arrive or the wait is over. */
+  CompletableFuture<Admission> admit(long amount, long deadlineNanos) {
+    demand.ask(amount);
+    if (waiting.get() == 0) {
+      switch (attempt(amount)) {
+        case TAKEN -> {
+          return CompletableFuture.completedFuture(ADMITTED);
+        }
+        case NOT_FRESH -> {
+          return CompletableFuture.completedFuture(NOT_FRESH);
+        }
+        default -> {}
+      }
+    }
+    return await(amount, deadlineNanos);
+  }
+
+  private CompletableFuture<Admission> await(long amount, long deadlineNanos) {
+    long now = clock.nanoTime();
+    long deadline = Math.min(deadlineNanos - now, ADMIT_WAIT_NANOS) + now;
+    if (deadline - now <= 0 || waiting.get() + amount > reachable(now)) {
+      return CompletableFuture.completedFuture(overLimit(amount, now));
+    }
+    CompletableFuture<Admission> answer = new CompletableFuture<>();
+    synchronized (waiters) {
+      waiters.add(new Waiter(amount, deadline, answer));
+      waiting.addAndGet(amount);
+    }
+    serveWaiters();
+    return answer;
+  }
+
+  /**
+   * Returns what may arrive during the wait. A request beyond it is refused at once, so that a
+   * workspace far above its rate does not fill the queue.
+   */
+  private long reachable(long now) {
+    LimitSpec total = spec;
+    if (total.kind() == LimitKind.SLOTS) {
+      return scarce ? total.quantum() : total.burst();
+    }
+    if (!scarce) {
+      return total.burst() + total.rate() * 2 / 5;
+    }
+    Share held = bucket.share(now);
+    return held.tokens() + Math.max(held.rate() * 2 / 5, total.quantum());
+  }
+
+  private Attempt attempt(long amount) {
+    if (!lease.isUsable()) {
+      return Attempt.NOT_FRESH;
+    }
+    if (!bucket.take(amount, clock.nanoTime())) {
+      return Attempt.SHORT;
+    }
+    // The process may have been paused between the check and the take.
+    if (!lease.isUsable()) {
+      bucket.putBack(amount);
+      return Attempt.NOT_FRESH;
+    }
+    return Attempt.TAKEN;
+  }
+
+  /** Answers the requests whose tokens have come or whose wait is over. */
+  void serveWaiters() {
+    if (waiting.get() == 0) {
+      return;
+    }
+    List<Served> served = new ArrayList<>();
+    synchronized (waiters) {
+      boolean more = true;
+      while (more && !waiters.isEmpty()) {
+        Waiter first = waiters.element();
+        Admission admission = decide(first);
+        more = admission != null;
+        if (admission != null) {
+          waiters.remove();
+          waiting.addAndGet(-first.amount());
+          served.add(new Served(first, admission));
+        }
+      }
+    }
+    for (Served one : served) {
+      one.waiter().answer().complete(one.admission());
+    }
+  }
+
+  private @Nullable Admission decide(Waiter waiter) {
+    long now = clock.nanoTime();
+    if (now - waiter.deadline() >= 0) {
+      return overLimit(waiter.amount(), now);
+    }
+    return switch (attempt(waiter.amount())) {
+      case TAKEN -> ADMITTED;
+      case NOT_FRESH -> NOT_FRESH;
+      case SHORT -> null;
+    };
+  }
+
+  private Admission overLimit(long amount, long now) {
+    Share held = bucket.share(now);
+    long rate = Math.max(held.rate(), spec.rate() / 100);
+    long missing = amount + waiting.get() - held.tokens();
+    long millis = rate == 0 ? 1_000 : (long) Math.ceil(Math.max(0, missing) * 1e3 / rate);
+    return new Admission.OverLimit(Math.min(LONGEST_RETRY_MILLIS, Math.max(1, millis)));
+  }
+
+  /** Estimates the part of the local share that is unused, between 0 and 1. */
+  double headroom() {
+    long now = clock.nanoTime();
+    Share held = bucket.share(now);
+    if (held.rate() == 0) {
+      return 0;
+    }
+    return Math.max(0, 1 - (double) demand.update(now) / held.rate());
+  }
+}
