--- a/kernel/src/main/java/verbenahatch/kernel/Json.java
+++ b/kernel/src/main/java/verbenahatch/kernel/Json.java
@@ -26,7 +26,6 @@
           .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
           .enable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES)
           .enable(DeserializationFeature.FAIL_ON_TRAILING_TOKENS)
-          .enable(DeserializationFeature.FAIL_ON_NULL_FOR_PRIMITIVES)
           .disable(SerializationFeature.FAIL_ON_EMPTY_BEANS)
           .defaultPropertyInclusion(
               JsonInclude.Value.construct(
--- a/model/src/main/java/verbenahatch/model/EnvironmentDocument.java
+++ b/model/src/main/java/verbenahatch/model/EnvironmentDocument.java
@@ -27,6 +27,18 @@
     List<Release> releases,
     List<ClientBlock> clients) {
 
+  /** Replaces lists and texts that are left out by empty ones. */
+  public EnvironmentDocument {
+    environment = Defaults.text(environment);
+    regions = Defaults.list(regions);
+    links = Defaults.list(links);
+    services = Defaults.list(services);
+    routes = Defaults.list(routes);
+    workspaces = Defaults.list(workspaces);
+    releases = Defaults.list(releases);
+    clients = Defaults.list(clients);
+  }
+
   /** Tells who may use a route. */
   public enum Access {
     /** Everybody, without a key. */
@@ -42,7 +54,13 @@
    * @param zones the names of its availability zones
    * @param capacity the largest number of requests that its targets may run at once
    */
-  public record Region(String name, List<String> zones, int capacity) {}
+  public record Region(String name, List<String> zones, int capacity) {
+    /** Replaces values that are left out by empty ones. */
+    public Region {
+      name = Defaults.text(name);
+      zones = Defaults.list(zones);
+    }
+  }
 
   /**
    * Describes the link from one region to another.
@@ -52,7 +70,13 @@
    * @param megabitsPerSecond the cap in Mbit/s
    * @param oneWayMillis the delay in milliseconds, one way
    */
-  public record Link(String from, String to, double megabitsPerSecond, double oneWayMillis) {}
+  public record Link(String from, String to, double megabitsPerSecond, double oneWayMillis) {
+    /** Replaces values that are left out by empty ones. */
+    public Link {
+      from = Defaults.text(from);
+      to = Defaults.text(to);
+    }
+  }
 
   /**
    * Describes a service.
@@ -61,7 +85,14 @@
    * @param version the version that carries the traffic
    * @param targets the targets of all versions
    */
-  public record Service(String name, String version, List<Target> targets) {}
+  public record Service(String name, String version, List<Target> targets) {
+    /** Replaces values that are left out by empty ones. */
+    public Service {
+      name = Defaults.text(name);
+      version = Defaults.text(version);
+      targets = Defaults.list(targets);
+    }
+  }
 
   /**
    * Describes a target.
@@ -83,7 +114,16 @@
       int port,
       String version,
       int slots,
-      int connections) {}
+      int connections) {
+    /** Replaces values that are left out by empty ones. */
+    public Target {
+      id = Defaults.text(id);
+      region = Defaults.text(region);
+      zone = Defaults.text(zone);
+      address = Defaults.text(address);
+      version = Defaults.text(version);
+    }
+  }
 
   /**
    * Describes a route.
@@ -103,7 +143,16 @@
       String pathPrefix,
       Access access,
       boolean idempotent,
-      int timeoutMillis) {}
+      int timeoutMillis) {
+    /** Replaces values that are left out by empty ones; access is keyed unless stated. */
+    public Route {
+      name = Defaults.text(name);
+      service = Defaults.text(service);
+      methods = Defaults.list(methods);
+      pathPrefix = Defaults.text(pathPrefix);
+      access = access == null ? Access.KEYED : access;
+    }
+  }
 
   /**
    * Describes a workspace.
@@ -113,7 +162,12 @@
    * @param burst the number of requests that may come at once above the rate, at least 1
    * @param weight the weight in fair queueing, positive
    */
-  public record Workspace(String name, double ratePerSecond, double burst, double weight) {}
+  public record Workspace(String name, double ratePerSecond, double burst, double weight) {
+    /** Replaces values that are left out by empty ones. */
+    public Workspace {
+      name = Defaults.text(name);
+    }
+  }
 
   /**
    * Plans a release.
@@ -132,7 +186,17 @@
       String fromVersion,
       String toVersion,
       String startAt,
-      String deadline) {}
+      String deadline) {
+    /** Replaces values that are left out by empty ones. */
+    public Release {
+      id = Defaults.text(id);
+      service = Defaults.text(service);
+      fromVersion = Defaults.text(fromVersion);
+      toVersion = Defaults.text(toVersion);
+      startAt = Defaults.text(startAt);
+      deadline = Defaults.text(deadline);
+    }
+  }
 
   /**
    * Names a block of client addresses.
@@ -140,5 +204,11 @@
    * @param block an IPv4 prefix such as {@code 10.1.0.0/16}
    * @param region the region nearest to it
    */
-  public record ClientBlock(String block, String region) {}
+  public record ClientBlock(String block, String region) {
+    /** Replaces values that are left out by empty ones. */
+    public ClientBlock {
+      block = Defaults.text(block);
+      region = Defaults.text(region);
+    }
+  }
 }
