--- /dev/null
+++ b/daemon/src/main/java/verbenahatch/daemon/DaemonEvent.java
@@ -0,0 +1,40 @@
+package verbenahatch.daemon;
+
+import verbenahatch.kernel.EventCode;
+
+/** Events of the process as a whole. */
+public enum DaemonEvent implements EventCode {
+  /** The process has started all plug-ins. */
+  STARTED(9001, Level.INFO, "host {} in region {} zone {} started"),
+  /** The process was asked to stop and drains. */
+  STOPPING(9002, Level.INFO, "host {} stops gracefully"),
+  /** The process has stopped. */
+  STOPPED(9003, Level.INFO, "host {} stopped"),
+  /** A part of the process failed to close. */
+  STOP_FAILED(9005, Level.ERROR, "host {} stopped with a failure: {}");
+
+  private final int number;
+  private final Level level;
+  private final String template;
+
+  DaemonEvent(int number, Level level, String template) {
+    this.number = number;
+    this.level = level;
+    this.template = template;
+  }
+
+  @Override
+  public int number() {
+    return number;
+  }
+
+  @Override
+  public Level level() {
+    return level;
+  }
+
+  @Override
+  public String template() {
+    return template;
+  }
+}
