Add in-memory peer links with manual time

Other modules need a peer link whose delay, loss, duplication, cuts and pauses are seeded and repeatable. PeerLink gains localAddress, incarnation and setIncarnation, which the fleet needs to describe itself and to join again under a new id.

--- a/peer/src/main/java/verbenahatch/peer/PeerLink.java
+++ b/peer/src/main/java/verbenahatch/peer/PeerLink.java
@@ -27,6 +27,28 @@
    */
   void handle(MessageKind kind, PeerHandler handler);
 
+  /**
+   * Returns where other hosts reach this link.
+   *
+   * @return the address with the port in use
+   */
+  PeerAddress localAddress();
+
+  /**
+   * Returns the incarnation id that this link proves to its peers.
+   *
+   * @return the current id
+   */
+  String incarnation();
+
+  /**
+   * Replaces the incarnation id, as a fenced process does before it joins again. Requests that
+   * start after the call carry the new id.
+   *
+   * @param incarnation the new id
+   */
+  void setIncarnation(String incarnation);
+
   @Override
   void close();
 }
--- /dev/null
+++ b/peer/src/main/java/verbenahatch/peer/testing/FakePeerLink.java
@@ -0,0 +1,171 @@
+package verbenahatch.peer.testing;
+
+import java.time.Duration;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.atomic.AtomicLong;
+import verbenahatch.kernel.Result;
+import verbenahatch.peer.MessageKind;
+import verbenahatch.peer.PeerAddress;
+import verbenahatch.peer.PeerError;
+import verbenahatch.peer.PeerHandler;
+import verbenahatch.peer.PeerLink;
+
+/** One end of a {@link FakePeerNetwork}. */
+public final class FakePeerLink implements PeerLink {
+
+  /** Bytes that the real link adds to a body: length, envelope fields and HMAC, rounded up. */
+  private static final int FRAME_OVERHEAD_BYTES = 56;
+
+  private final FakePeerNetwork network;
+  private final PeerAddress address;
+  private final Map<MessageKind, PeerHandler> handlers = new ConcurrentHashMap<>();
+  private final Set<CompletableFuture<Result<byte[], PeerError>>> pending = new HashSet<>();
+  private final AtomicLong messagesSent = new AtomicLong();
+  private final AtomicLong bytesSent = new AtomicLong();
+  private volatile String incarnation;
+  private volatile boolean closed;
+
+  FakePeerLink(FakePeerNetwork network, PeerAddress address, String incarnation) {
+    this.network = network;
+    this.address = address;
+    this.incarnation = incarnation;
+  }
+
+  @Override
+  public CompletableFuture<Result<byte[], PeerError>> call(
+      PeerAddress to, MessageKind kind, byte[] body, Duration timeout) {
+    if (closed || !network.isOpen(to)) {
+      String reason = closed ? "link is closed" : "connection refused: " + to;
+      return CompletableFuture.completedFuture(Result.err(new PeerError.NotSent(reason)));
+    }
+    CompletableFuture<Result<byte[], PeerError>> answer = new CompletableFuture<>();
+    synchronized (pending) {
+      pending.add(answer);
+    }
+    String sender = incarnation;
+    byte[] copy = body.clone();
+    count(body.length);
+    network.send(address, to, () -> receive(sender, to, kind, copy, answer));
+    network.schedule(
+        timeout,
+        () ->
+            network.runAt(
+                address,
+                () -> finish(answer, Result.err(new PeerError.NoAnswer("no answer in time")))));
+    return answer;
+  }
+
+  private void receive(
+      String sender,
+      PeerAddress to,
+      MessageKind kind,
+      byte[] body,
+      CompletableFuture<Result<byte[], PeerError>> answer) {
+    FakePeerLink receiver = network.find(to);
+    if (receiver == null) {
+      return;
+    }
+    receiver
+        .dispatch(sender, kind, body)
+        .whenComplete(
+            (value, failure) -> {
+              Result<byte[], PeerError> result =
+                  failure == null
+                      ? Result.ok(value)
+                      : Result.err(new PeerError.Refused(String.valueOf(failure.getMessage())));
+              receiver.reply(address, this, answer, result);
+            });
+  }
+
+  private CompletableFuture<byte[]> dispatch(String sender, MessageKind kind, byte[] body) {
+    PeerHandler handler = handlers.get(kind);
+    if (handler == null) {
+      return CompletableFuture.failedFuture(new IllegalStateException("no handler for " + kind));
+    }
+    try {
+      return handler.handle(sender, body.clone());
+    } catch (RuntimeException e) {
+      return CompletableFuture.failedFuture(e);
+    }
+  }
+
+  private void reply(
+      PeerAddress to,
+      FakePeerLink caller,
+      CompletableFuture<Result<byte[], PeerError>> answer,
+      Result<byte[], PeerError> result) {
+    if (closed) {
+      return;
+    }
+    count(result.isOk() ? result.get().length : 0);
+    network.send(address, to, () -> caller.finish(answer, result));
+  }
+
+  private void finish(
+      CompletableFuture<Result<byte[], PeerError>> answer, Result<byte[], PeerError> result) {
+    synchronized (pending) {
+      pending.remove(answer);
+    }
+    answer.complete(result);
+  }
+
+  private void count(int bodyBytes) {
+    messagesSent.incrementAndGet();
+    bytesSent.addAndGet(bodyBytes + FRAME_OVERHEAD_BYTES);
+  }
+
+  @Override
+  public void handle(MessageKind kind, PeerHandler handler) {
+    handlers.put(kind, handler);
+  }
+
+  @Override
+  public PeerAddress localAddress() {
+    return address;
+  }
+
+  @Override
+  public String incarnation() {
+    return incarnation;
+  }
+
+  @Override
+  public void setIncarnation(String incarnation) {
+    this.incarnation = incarnation;
+  }
+
+  /**
+   * Returns how many requests and answers this link sent.
+   *
+   * @return the number of messages
+   */
+  public long messagesSent() {
+    return messagesSent.get();
+  }
+
+  /**
+   * Returns how many bytes this link sent, with an estimate of the framing.
+   *
+   * @return the number of bytes
+   */
+  public long bytesSent() {
+    return bytesSent.get();
+  }
+
+  /** Closes the link; pending calls complete without an answer. */
+  @Override
+  public void close() {
+    closed = true;
+    network.remove(this);
+    Set<CompletableFuture<Result<byte[], PeerError>>> open;
+    synchronized (pending) {
+      open = Set.copyOf(pending);
+      pending.clear();
+    }
+    open.forEach(answer -> answer.complete(Result.err(new PeerError.NoAnswer("link is closed"))));
+  }
+}
