--- a/limits/src/main/java/verbenahatch/limits/Election.java
+++ b/limits/src/main/java/verbenahatch/limits/Election.java
@@ -110,7 +110,7 @@
       return;
     }
     boolean own = record.home().equals(self);
-    if (own ? !renewOwn : Members.canBeHome(context.fleet(), record.home())) {
+    if (own ? !renewOwn : context.members().canBeHome(record.home())) {
       finish();
       outcome.lost(record.epoch(), record.home());
       return;
@@ -123,9 +123,7 @@
       epoch = closing;
       version = readVersion;
       phase = Phase.CLOSING;
-      for (Member member : context.fleet().members()) {
-        missing.add(member.incarnation());
-      }
+      missing.addAll(context.members().live().keySet());
       missing.add(self);
     }
     tick();
@@ -146,7 +144,7 @@
 
   private void closeMissing() {
     Set<String> open = new HashSet<>();
-    Map<String, Member> members = Members.live(context.fleet());
+    Map<String, Member> members = context.members().live();
     synchronized (this) {
       missing.removeIf(one -> !one.equals(self) && !members.containsKey(one));
       for (String one : missing) {
--- a/limits/src/main/java/verbenahatch/limits/GroupHome.java
+++ b/limits/src/main/java/verbenahatch/limits/GroupHome.java
@@ -40,6 +40,9 @@
   /** Time between two tries to become the home; bounds the store calls during an outage. */
   private static final long ELECTION_PERIOD_NANOS = 500_000_000L;
 
+  /** Time between two looks for reclaims, changed totals and recalls. */
+  private static final long MAINTENANCE_PERIOD_NANOS = 50_000_000L;
+
   private final int group;
   private final LimitsContext context;
   private final HostLease lease;
@@ -52,6 +55,7 @@
   private long knownEpoch;
   private String knownHome = "";
   private long activeAt;
+  private long maintainedAt;
   private long nextElectionAt;
   private boolean renewalAsked;
 
@@ -67,6 +71,7 @@
     this.holder = holder;
     this.specs = specs;
     this.nextElectionAt = context.clock().nanoTime();
+    this.maintainedAt = nextElectionAt - MAINTENANCE_PERIOD_NANOS;
   }
 
   HolderLedger holder() {
@@ -130,21 +135,23 @@
 
   private void elect() {
     Election running;
+    boolean isNew;
     synchronized (this) {
-      running = election;
+      isNew = election == null;
+      running = isNew ? newElection() : election;
       if (running == null) {
-        running = newElection();
+        return;
+      }
+      if (isNew) {
         election = running;
-        if (running == null) {
-          return;
-        }
         nextElectionAt = context.clock().nanoTime() + ELECTION_PERIOD_NANOS;
-      } else {
-        running.tick();
-        return;
       }
     }
-    running.start();
+    if (isNew) {
+      running.start();
+    } else {
+      running.tick();
+    }
   }
 
   private @Nullable Election newElection() {
@@ -154,9 +161,9 @@
     boolean own = knownHome.equals(lease.incarnation());
     boolean renew = own && (ledger == null || renewalAsked);
     if (!renew) {
-      Member candidate = Members.candidate(context.fleet(), group);
+      Member candidate = context.members().candidate(group);
       boolean mine = candidate != null && candidate.incarnation().equals(lease.incarnation());
-      if (!mine || Members.canBeHome(context.fleet(), knownHome)) {
+      if (!mine || context.members().canBeHome(knownHome)) {
         return null;
       }
     }
@@ -220,7 +227,7 @@
   }
 
   private void announce(long epoch, String incarnation) {
-    for (Member member : Members.live(context.fleet()).values()) {
+    for (Member member : context.members().live().values()) {
       if (!member.incarnation().equals(incarnation)) {
         hint(member, epoch, incarnation, List.of());
       }
@@ -250,8 +257,12 @@
       return Map.of();
     }
     long now = context.clock().nanoTime();
+    if (now - maintainedAt < MAINTENANCE_PERIOD_NANOS) {
+      return Map.of();
+    }
+    maintainedAt = now;
     refresh(home, now);
-    Map<String, Member> live = Members.live(context.fleet());
+    Map<String, Member> live = context.members().live();
     for (String one : home.holders()) {
       if (isGone(one, live, now) && home.reclaim(one, now)) {
         context.events().log(LimitsEvent.SHARES_RECLAIMED, group, one);
@@ -266,7 +277,7 @@
   private void refresh(HomeLedger home, long now) {
     home.totals(specs.get(), now);
     Map<String, Boolean> members = new TreeMap<>();
-    for (Member member : Members.live(context.fleet()).values()) {
+    for (Member member : context.members().live().values()) {
       members.put(member.incarnation(), !member.leaving());
     }
     home.members(members, now);
@@ -292,7 +303,7 @@
         return;
       }
       closing = ledger.epoch() - 1;
-      unclosed = Members.live(context.fleet());
+      unclosed = new TreeMap<>(context.members().live());
       unclosed.keySet().removeAll(closedMembers);
     }
     byte[] body = CloseShares.newBuilder().setGroup(group).setEpoch(closing).build().toByteArray();
@@ -326,7 +337,7 @@
       return;
     }
     long epoch = knownEpoch();
-    Map<String, Member> live = Members.live(context.fleet());
+    Map<String, Member> live = context.members().live();
     recalls.forEach(
         (incarnation, lines) -> {
           Member member = live.get(incarnation);
@@ -338,6 +349,11 @@
         });
   }
 
+  private boolean isMember(String incarnation) {
+    return context.members().live().containsKey(incarnation)
+        && !context.fleet().isLapsed(incarnation);
+  }
+
   /** Answers an exchange. */
   ShareGrant exchange(String sender, ShareExchange exchange) {
     ShareGrant grant;
@@ -353,7 +369,7 @@
             .setHome(knownHome)
             .build();
       }
-      if (!lease.isUsable() || !Members.live(context.fleet()).containsKey(sender)) {
+      if (!lease.isUsable() || !isMember(sender)) {
         return ShareGrant.newBuilder().setOutcome(ShareGrant.Outcome.REFUSED).build();
       }
       long now = context.clock().nanoTime();
--- a/limits/src/main/java/verbenahatch/limits/GroupTransport.java
+++ b/limits/src/main/java/verbenahatch/limits/GroupTransport.java
@@ -40,7 +40,7 @@
     if (!lease.isUsable()) {
       return;
     }
-    Member target = Members.live(context.fleet()).get(home.holder().home());
+    Member target = context.members().live().get(home.holder().home());
     if (target == null) {
       inquire();
       return;
@@ -61,9 +61,9 @@
       }
       inquiredAt = now;
     }
-    Member target = Members.live(context.fleet()).get(home.knownHome());
+    Member target = context.members().live().get(home.knownHome());
     if (target == null || target.incarnation().equals(lease.incarnation())) {
-      target = Members.candidate(context.fleet(), group);
+      target = context.members().candidate(group);
     }
     if (target != null && !target.incarnation().equals(lease.incarnation())) {
       long closed = home.holder().isStopped() ? home.holder().closedEpoch() : 0;
--- a/limits/src/main/java/verbenahatch/limits/HeldLimit.java
+++ b/limits/src/main/java/verbenahatch/limits/HeldLimit.java
@@ -40,6 +40,7 @@
   private final Clock clock;
   private final HostLease lease;
   private final String name;
+  private final int group;
   private final LocalBucket bucket;
   private final DemandEstimate demand;
   private final Deque<Waiter> waiters = new ArrayDeque<>();
@@ -49,6 +50,7 @@
 
   HeldLimit(LimitSpec spec, Clock clock, HostLease lease) {
     this.name = spec.name();
+    this.group = LimitSpec.groupOf(name);
     this.spec = spec;
     this.clock = clock;
     this.lease = lease;
@@ -60,6 +62,10 @@
     return name;
   }
 
+  int group() {
+    return group;
+  }
+
   LimitSpec spec() {
     return spec;
   }
--- a/limits/src/main/java/verbenahatch/limits/LimitsContext.java
+++ b/limits/src/main/java/verbenahatch/limits/LimitsContext.java
@@ -1,8 +1,6 @@
 package verbenahatch.limits;
 
-import java.util.Map;
 import java.util.concurrent.Executor;
-import java.util.function.Supplier;
 import verbenahatch.fleet.Fleet;
 import verbenahatch.kernel.Clock;
 import verbenahatch.kernel.Events;
@@ -14,17 +12,17 @@
  *
  * @param clock the clock
  * @param fleet what this host knows about the fleet
+ * @param members selects the members that take part
  * @param link the link to other hosts
  * @param store the platform's object API; called on {@code storeCalls} only
  * @param storeCalls runs calls that block
  * @param events the log
- * @param specs returns the limits in force by name
  */
 record LimitsContext(
     Clock clock,
     Fleet fleet,
+    LiveMembers members,
     PeerLink link,
     ObjectStore store,
     Executor storeCalls,
-    Events events,
-    Supplier<Map<String, LimitSpec>> specs) {}
+    Events events) {}
--- a/limits/src/main/java/verbenahatch/limits/Members.java
+++ b/limits/src/main/java/verbenahatch/limits/LiveMembers.java
@@ -1,30 +1,52 @@
 package verbenahatch.limits;
 
+import java.util.Collections;
 import java.util.Map;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.fleet.Fleet;
 import verbenahatch.fleet.Member;
+import verbenahatch.kernel.Clock;
 
-/** Selects members for the work of a group. */
-final class Members {
+/** Selects members for the work of the groups. Thread-safe. */
+final class LiveMembers {
 
-  private Members() {}
+  /** Longest age of the selection; it also changes at once when the fleet reports a change. */
+  private static final long REFRESH_NANOS = 100_000_000L;
+
+  private record Snapshot(Map<String, Member> live, long at) {}
+
+  private final Fleet fleet;
+  private final Clock clock;
+  private volatile @Nullable Snapshot snapshot;
+
+  LiveMembers(Fleet fleet, Clock clock) {
+    this.fleet = fleet;
+    this.clock = clock;
+    fleet.onChange(members -> snapshot = null);
+  }
 
   /** Returns the members that have not lapsed, by incarnation. */
-  static Map<String, Member> live(Fleet fleet) {
+  Map<String, Member> live() {
+    Snapshot known = snapshot;
+    long now = clock.nanoTime();
+    if (known != null && now - known.at() < REFRESH_NANOS) {
+      return known.live();
+    }
     Map<String, Member> live = new TreeMap<>();
     for (Member member : fleet.members()) {
       if (!fleet.isLapsed(member.incarnation())) {
         live.put(member.incarnation(), member);
       }
     }
-    return live;
+    Snapshot taken = new Snapshot(Collections.unmodifiableMap(live), now);
+    snapshot = taken;
+    return taken.live();
   }
 
   /** Tells whether an incarnation is a live member that is not leaving. */
-  static boolean canBeHome(Fleet fleet, String incarnation) {
-    Member member = live(fleet).get(incarnation);
+  boolean canBeHome(String incarnation) {
+    Member member = live().get(incarnation);
     return member != null && !member.leaving();
   }
 
@@ -32,10 +54,10 @@
    * Names the member that should become the home of a group that has none, by rendezvous hashing.
    * Hosts may disagree for a while; the conditional write decides.
    */
-  static @Nullable Member candidate(Fleet fleet, int group) {
+  @Nullable Member candidate(int group) {
     Member best = null;
     long bestScore = Long.MIN_VALUE;
-    for (Member member : live(fleet).values()) {
+    for (Member member : live().values()) {
       long score = score(group, member.incarnation());
       if (!member.leaving() && (best == null || score > bestScore)) {
         best = member;
--- a/limits/src/main/java/verbenahatch/limits/SharedLimits.java
+++ b/limits/src/main/java/verbenahatch/limits/SharedLimits.java
@@ -2,7 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
-import java.util.LinkedHashMap;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
@@ -44,7 +44,7 @@
   private final List<Map<String, HeldLimit>> byGroup = new ArrayList<>();
   private final List<GroupHome> groups = new ArrayList<>();
   private final List<GroupTransport> transports = new ArrayList<>();
-  private volatile Map<String, LimitSpec> specs = Map.of();
+  private volatile List<Map<String, LimitSpec>> specs = groupsOf(Map.of());
 
   /**
    * Creates the limits of a host and sets the handlers of their messages.
@@ -67,7 +67,8 @@
       Events events) {
     this.lease = new HostLease(fleet);
     this.context =
-        new LimitsContext(clock, fleet, link, store, storeCalls, events, this::currentSpecs);
+        new LimitsContext(
+            clock, fleet, new LiveMembers(fleet, clock), link, store, storeCalls, events);
     for (int group = 0; group < LimitSpec.GROUPS; group++) {
       addGroup(group);
     }
@@ -78,31 +79,17 @@
     link.handle(MessageKind.RECALL_HINT, this::onHint);
   }
 
-  private Map<String, LimitSpec> currentSpecs() {
-    return specs;
-  }
-
   private void addGroup(int group) {
     Map<String, HeldLimit> members = new ConcurrentHashMap<>();
     byGroup.add(members);
     HolderLedger holder = new HolderLedger(group, context.clock(), members::values);
-    GroupHome home = new GroupHome(group, context, lease, holder, () -> specsOf(group));
+    GroupHome home = new GroupHome(group, context, lease, holder, () -> specs.get(group));
     groups.add(home);
     transports.add(
         new GroupTransport(
             group, context, lease, home, () -> members.values().forEach(HeldLimit::serveWaiters)));
   }
 
-  private Map<String, LimitSpec> specsOf(int group) {
-    Map<String, LimitSpec> ofGroup = new LinkedHashMap<>();
-    for (LimitSpec spec : specs.values()) {
-      if (LimitSpec.groupOf(spec.name()) == group) {
-        ofGroup.put(spec.name(), spec);
-      }
-    }
-    return ofGroup;
-  }
-
   private synchronized void adopt(EnvironmentDocument document) {
     Map<String, LimitSpec> changed = LimitSpec.of(document);
     for (LimitSpec spec : changed.values()) {
@@ -115,7 +102,24 @@
         held.spec(spec);
       }
     }
-    specs = Map.copyOf(changed);
+    specs = groupsOf(changed);
+  }
+
+  private static List<Map<String, LimitSpec>> groupsOf(Map<String, LimitSpec> all) {
+    List<Map<String, LimitSpec>> grouped = new ArrayList<>();
+    for (int group = 0; group < LimitSpec.GROUPS; group++) {
+      grouped.add(new HashMap<>());
+    }
+    for (LimitSpec spec : all.values()) {
+      grouped.get(LimitSpec.groupOf(spec.name())).put(spec.name(), spec);
+    }
+    return grouped;
+  }
+
+  /** Returns a limit in force, or null. */
+  private @Nullable HeldLimit find(String name) {
+    HeldLimit limit = limits.get(name);
+    return limit == null || !specs.get(limit.group()).containsKey(name) ? null : limit;
   }
 
   @Override
@@ -172,13 +176,13 @@
       return 1;
     }
     String name = LimitSpec.ofLink(from, to);
-    HeldLimit limit = limits.get(name);
-    return limit == null || !specs.containsKey(name) ? 0 : limit.headroom();
+    HeldLimit limit = find(name);
+    return limit == null ? 0 : limit.headroom();
   }
 
   private CompletableFuture<Admission> take(String name, long amount, long deadlineNanos) {
-    HeldLimit limit = limits.get(name);
-    if (limit == null || !specs.containsKey(name)) {
+    HeldLimit limit = find(name);
+    if (limit == null) {
       return CompletableFuture.completedFuture(new Admission.UnknownLimit(name));
     }
     if (!lease.isCurrent()) {
@@ -186,7 +190,7 @@
     }
     CompletableFuture<Admission> admission = limit.admit(amount, deadlineNanos);
     if (!admission.isDone()) {
-      transports.get(LimitSpec.groupOf(name)).send();
+      transports.get(limit.group()).send();
     }
     return admission;
   }
@@ -280,7 +284,7 @@
     Map<String, View> views = new TreeMap<>();
     long now = context.clock().nanoTime();
     for (HeldLimit limit : limits.values()) {
-      int group = LimitSpec.groupOf(limit.name());
+      int group = limit.group();
       GroupHome home = groups.get(group);
       views.put(
           limit.name(),
--- /dev/null
+++ b/limits/src/main/java/verbenahatch/limits/testing/RequestLoad.java
@@ -0,0 +1,151 @@
+package verbenahatch.limits.testing;
+
+import java.time.Duration;
+import java.util.Random;
+import java.util.concurrent.CompletableFuture;
+import verbenahatch.limits.Admission;
+import verbenahatch.limits.Limits;
+
+/**
+ * Sends requests of one workspace to the hosts of a simulation and counts the decisions.
+ *
+ * <p>Arrivals are random and independent. A request to a host that does not run goes to the next
+ * one that does, as callers do. Not thread-safe.
+ */
+public final class RequestLoad {
+
+  private static final long STEP_MICROS = 1_000;
+  private static final long PATIENCE_NANOS = 2_000_000_000L;
+
+  private final LimitSimulation simulation;
+  private final String workspace;
+  private final Random random;
+  private final AdmissionLog log;
+  private long offered;
+  private long admitted;
+  private long overLimit;
+  private long notFresh;
+
+  /**
+   * Creates a load.
+   *
+   * @param simulation the hosts
+   * @param workspace the workspace that sends
+   * @param seed the seed of the arrivals
+   * @param log records the admissions
+   */
+  public RequestLoad(LimitSimulation simulation, String workspace, long seed, AdmissionLog log) {
+    this.simulation = simulation;
+    this.workspace = workspace;
+    this.random = new Random(seed);
+    this.log = log;
+  }
+
+  /**
+   * Sends requests while the time passes.
+   *
+   * @param span how long
+   * @param perSecond the mean number of requests per second over all hosts
+   * @param weights the part of each host; they need not add up to 1
+   */
+  public void run(Duration span, double perSecond, double... weights) {
+    long end = simulation.clock().nanoTime() + span.toNanos();
+    double next = -Math.log(1 - random.nextDouble()) / perSecond;
+    double elapsed = 0;
+    while (simulation.clock().nanoTime() < end) {
+      simulation.advance(Duration.ofNanos(STEP_MICROS * 1_000));
+      elapsed += STEP_MICROS / 1e6;
+      while (next <= elapsed) {
+        send(pick(weights));
+        next += -Math.log(1 - random.nextDouble()) / perSecond;
+      }
+    }
+  }
+
+  private int pick(double[] weights) {
+    double sum = 0;
+    for (double weight : weights) {
+      sum += weight;
+    }
+    double at = random.nextDouble() * sum;
+    int chosen = 0;
+    while (chosen < weights.length - 1 && at >= weights[chosen]) {
+      at -= weights[chosen];
+      chosen++;
+    }
+    return chosen;
+  }
+
+  private void send(int chosen) {
+    int hosts = simulation.hosts().size();
+    for (int i = 0; i < hosts; i++) {
+      SimulatedHost host = simulation.hosts().get((chosen + i) % hosts);
+      if (host.isRunning()) {
+        offered++;
+        decide(host.limits());
+        return;
+      }
+    }
+  }
+
+  private void decide(Limits limits) {
+    CompletableFuture<Admission> decision =
+        limits.admit(workspace, simulation.clock().nanoTime() + PATIENCE_NANOS);
+    decision.thenAccept(this::count);
+  }
+
+  private void count(Admission admission) {
+    if (admission instanceof Admission.Admitted) {
+      admitted++;
+      log.admit(1, simulation.clock().nanoTime());
+    } else if (admission instanceof Admission.NotFresh) {
+      notFresh++;
+    } else {
+      overLimit++;
+    }
+  }
+
+  /**
+   * Returns the requests sent so far.
+   *
+   * @return the number
+   */
+  public long offered() {
+    return offered;
+  }
+
+  /**
+   * Returns the requests admitted so far.
+   *
+   * @return the number
+   */
+  public long admitted() {
+    return admitted;
+  }
+
+  /**
+   * Returns the requests refused because the limit was used up.
+   *
+   * @return the number
+   */
+  public long overLimit() {
+    return overLimit;
+  }
+
+  /**
+   * Returns the requests refused because the host was not fresh.
+   *
+   * @return the number
+   */
+  public long notFresh() {
+    return notFresh;
+  }
+
+  /** Sets the counts, but not the log, back to zero. */
+  public void resetCounts() {
+    offered = 0;
+    admitted = 0;
+    overLimit = 0;
+    notFresh = 0;
+  }
+}
--- /dev/null
+++ b/limits/src/main/java/verbenahatch/limits/testing/SimulatedHost.java
@@ -0,0 +1,179 @@
+package verbenahatch.limits.testing;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Consumer;
+import org.jspecify.annotations.Nullable;
+import verbenahatch.fleet.ConfigView;
+import verbenahatch.fleet.Drains;
+import verbenahatch.fleet.Fleet;
+import verbenahatch.fleet.Member;
+import verbenahatch.kernel.Clock;
+import verbenahatch.limits.SharedLimits;
+import verbenahatch.model.EnvironmentDocument;
+import verbenahatch.peer.testing.FakePeerLink;
+
+/**
+ * Stands for one host: its view of the fleet and of the configuration, and the limits that run on
+ * it. The simulation updates the view.
+ */
+public final class SimulatedHost implements Fleet {
+
+  /** Freshness bound in nanoseconds. */
+  static final long FRESHNESS_NANOS = 1_500_000_000L;
+
+  final int index;
+  final FakePeerLink link;
+  final Map<String, Long> contacts = new HashMap<>();
+  final Map<String, Long> lapses = new HashMap<>();
+  boolean paused;
+  boolean killed;
+
+  private final Clock clock;
+  private final List<Consumer<List<Member>>> memberListeners = new ArrayList<>();
+  private final List<Consumer<EnvironmentDocument>> documentListeners = new ArrayList<>();
+  private Member self;
+  private List<Member> members = List.of();
+  private long epoch;
+  private @Nullable EnvironmentDocument document;
+  private @Nullable SharedLimits limits;
+
+  SimulatedHost(int index, Clock clock, FakePeerLink link, Member self) {
+    this.index = index;
+    this.clock = clock;
+    this.link = link;
+    this.self = self;
+  }
+
+  /**
+   * Returns the limits under test.
+   *
+   * @return the limits of this host
+   */
+  public SharedLimits limits() {
+    if (limits == null) {
+      throw new IllegalStateException("host has not started");
+    }
+    return limits;
+  }
+
+  ConfigView config() {
+    return new Config();
+  }
+
+  void start(SharedLimits started) {
+    limits = started;
+  }
+
+  /**
+   * Tells whether the process runs.
+   *
+   * @return true if it is neither killed nor paused
+   */
+  public boolean isRunning() {
+    return !killed && !paused;
+  }
+
+  void renew(Member renewed) {
+    self = renewed;
+    contacts.clear();
+    members = List.of();
+  }
+
+  void see(long newEpoch, List<Member> newMembers) {
+    if (newEpoch > epoch) {
+      epoch = newEpoch;
+      members = List.copyOf(newMembers);
+      memberListeners.forEach(listener -> listener.accept(members));
+    }
+  }
+
+  void adopt(EnvironmentDocument adopted) {
+    if (document == null || adopted.generation() > document.generation()) {
+      document = adopted;
+      documentListeners.forEach(listener -> listener.accept(adopted));
+    }
+  }
+
+  @Override
+  public Member self() {
+    return self;
+  }
+
+  @Override
+  public List<Member> members() {
+    return members;
+  }
+
+  @Override
+  public long membersEpoch() {
+    return epoch;
+  }
+
+  @Override
+  public boolean isFresh() {
+    return freshNanosLeft() > 0;
+  }
+
+  @Override
+  public long freshNanosLeft() {
+    boolean isMember = false;
+    List<Long> ages = new ArrayList<>();
+    long now = clock.nanoTime();
+    for (Member member : members) {
+      if (member.incarnation().equals(self.incarnation())) {
+        isMember = true;
+        ages.add(0L);
+      } else {
+        Long contact = contacts.get(member.incarnation());
+        ages.add(contact == null ? Long.MAX_VALUE : now - contact);
+      }
+    }
+    if (!isMember) {
+      return 0;
+    }
+    ages.sort(null);
+    long age = ages.get(members.size() / 2);
+    return age == Long.MAX_VALUE ? 0 : FRESHNESS_NANOS - age;
+  }
+
+  @Override
+  public boolean isInContact(String incarnation) {
+    Long contact = contacts.get(incarnation);
+    return incarnation.equals(self.incarnation())
+        || (contact != null && clock.nanoTime() - contact <= FRESHNESS_NANOS);
+  }
+
+  @Override
+  public boolean isLapsed(String incarnation) {
+    Long at = lapses.get(incarnation);
+    return at != null && clock.nanoTime() >= at;
+  }
+
+  @Override
+  public void onChange(Consumer<List<Member>> listener) {
+    memberListeners.add(listener);
+  }
+
+  /** Shows the document of this host. */
+  private final class Config implements ConfigView {
+
+    @Override
+    public Optional<EnvironmentDocument> document() {
+      return Optional.ofNullable(document);
+    }
+
+    @Override
+    public Drains drains() {
+      return Drains.NONE;
+    }
+
+    @Override
+    public void onChange(Consumer<EnvironmentDocument> listener) {
+      documentListeners.add(listener);
+    }
+  }
+}
