--- a/limits/src/main/java/verbenahatch/limits/GroupHome.java
+++ b/limits/src/main/java/verbenahatch/limits/GroupHome.java
@@ -90,12 +90,14 @@
     return ledger;
   }
 
-  /** Returns the pool of a limit, empty if this host is not its home. */
+  /** Returns the pool of a limit, empty if this host is not its home or may not grant yet. */
   synchronized Optional<Share> pool(String limit) {
-    HomeAccount account = ledger == null ? null : ledger.accounts().get(limit);
-    return account == null
-        ? Optional.empty()
-        : Optional.of(account.pool(context.clock().nanoTime()));
+    HomeLedger home = ledger;
+    if (home == null || !home.isActive()) {
+      return Optional.empty();
+    }
+    return Optional.ofNullable(home.accounts().get(limit))
+        .map(account -> account.pool(context.clock().nanoTime()));
   }
 
   /** Drops everything that belongs to the old incarnation. */
--- a/limits/src/main/java/verbenahatch/limits/HomeAccount.java
+++ b/limits/src/main/java/verbenahatch/limits/HomeAccount.java
@@ -45,14 +45,26 @@
     return holdings.computeIfAbsent(holder, key -> new Holding());
   }
 
+  /** Returns the pool, negative while shares above a lowered total are out. */
   Share pool(long now) {
-    return pool.share(now);
+    Share there = pool.share(now);
+    return new Share(there.rate() - debtRate, there.burst() - debtBurst, there.tokens());
   }
 
   boolean inDebt() {
     return debtRate > 0 || debtBurst > 0;
   }
 
+  /** Tells whether requests wait for tokens at some holder. */
+  boolean isAnyWaiting() {
+    for (Holding holding : holdings.values()) {
+      if (holding.wanted > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Returns the sum of the shares that are out. */
   Share out() {
     long rate = 0;
--- a/limits/src/main/java/verbenahatch/limits/HomeDivision.java
+++ b/limits/src/main/java/verbenahatch/limits/HomeDivision.java
@@ -34,6 +34,7 @@
     List<Holding> holders = new ArrayList<>(members.size());
     long[] demand = new long[members.size()];
     boolean[] slack = new boolean[members.size()];
+    long[] wanted = new long[members.size()];
     boolean slots = spec.kind() == LimitKind.SLOTS;
     double sum = 0;
     int i = 0;
@@ -41,13 +42,14 @@
       Holding holding = account.holding(member.getKey());
       holders.add(holding);
       demand[i] = holding.demand + holding.wanted * (slots ? 1 : WANTED_WEIGHT);
+      wanted[i] = holding.wanted;
       slack[i] = member.getValue();
-      sum += demand[i];
+      sum += holding.demand;
       i++;
     }
     long total = slots ? spec.burst() : spec.rate();
     long[] rates = Division.byDemand(total, demand, slack);
-    long[] bursts = Division.inQuanta(spec.burst(), rates, spec.quantum());
+    long[] bursts = bursts(spec, wanted, rates);
     if (!slots) {
       rates = withBurst(total, demand, slack, bursts, rates);
     }
@@ -58,6 +60,28 @@
     return sum >= total;
   }
 
+  /**
+   * Divides the burst: first what requests wait for, so that whole tokens move to them however
+   * small the holder's demand is, then the rest by rate.
+   */
+  private static long[] bursts(LimitSpec spec, long[] wanted, long[] rates) {
+    long quantum = spec.quantum();
+    long[] first = new long[wanted.length];
+    long sum = 0;
+    for (int h = 0; h < wanted.length; h++) {
+      first[h] = (wanted[h] + quantum - 1) / quantum * quantum;
+      sum += first[h];
+    }
+    if (sum > spec.burst()) {
+      return Division.inQuanta(spec.burst(), first, quantum);
+    }
+    long[] bursts = Division.inQuanta(spec.burst() - sum, rates, quantum);
+    for (int h = 0; h < wanted.length; h++) {
+      bursts[h] += first[h];
+    }
+    return bursts;
+  }
+
   /** Moves the rate of holders without a burst, where it would be lost, to the others. */
   private static long[] withBurst(
       long total, long[] demand, boolean[] slack, long[] bursts, long[] rates) {
@@ -74,13 +98,19 @@
     return all ? rates : Division.byDemand(total, usable, takes);
   }
 
-  /** Tells whether a holder should return a part of its share. */
-  static boolean hasExcess(HomeAccount account, Holding holding) {
+  /**
+   * Tells whether a holder should return a part of its share; the tolerance is smaller while
+   * requests wait somewhere.
+   */
+  static boolean hasExcess(HomeAccount account, Holding holding, boolean waiting) {
     long rate = holding.rate - holding.targetRate;
     long burst = holding.burst - holding.targetBurst;
     if (account.inDebt()) {
       return rate > 0 || burst > 0;
     }
+    if (waiting) {
+      return burst >= account.spec().quantum() || rate > toleratedRate(account, holding);
+    }
     return rate > toleratedRate(account, holding) || burst >= toleratedBurst(account, holding);
   }
 
--- a/limits/src/main/java/verbenahatch/limits/HomeLedger.java
+++ b/limits/src/main/java/verbenahatch/limits/HomeLedger.java
@@ -29,6 +29,12 @@
   /** Shortest time between two hints to one holder. */
   static final long HINT_PERIOD_NANOS = 60_000_000L;
 
+  /**
+   * Time for which the demand must reach the total before requests are refused without a wait.
+   * Callers that move are counted at two hosts until the older estimate has decayed.
+   */
+  static final long SCARCE_AFTER_NANOS = 1_500_000_000L;
+
   private static final class Session {
     long sequence;
     long hintedAt;
@@ -42,7 +48,7 @@
   private final long epoch;
   private final String home;
   private final Map<String, HomeAccount> accounts = new TreeMap<>();
-  private final Map<String, Boolean> scarce = new HashMap<>();
+  private final Map<String, Long> scarceSince = new HashMap<>();
   private final Map<String, Session> sessions = new HashMap<>();
   private Map<String, Boolean> members = new TreeMap<>();
   private boolean active;
@@ -196,23 +202,34 @@
   private void divide(long now) {
     dividedAt = now;
     for (HomeAccount account : accounts.values()) {
-      scarce.put(account.spec().name(), HomeDivision.divide(account, members));
+      String name = account.spec().name();
+      if (HomeDivision.divide(account, members)) {
+        scarceSince.putIfAbsent(name, now);
+      } else {
+        scarceSince.remove(name);
+      }
     }
   }
 
+  private boolean isScarce(String limit, long now) {
+    Long since = scarceSince.get(limit);
+    return since != null && now - since >= SCARCE_AFTER_NANOS;
+  }
+
   private GrantLine answer(String holder, String limit, long now) {
     HomeAccount account = account(limit, now);
     Holding holding = account.holding(holder);
     GrantLine.Builder line = GrantLine.newBuilder().setLimit(limit);
     if (active && !account.inDebt()) {
       long rate = holding.targetRate - holding.rate;
-      long burst = holding.targetBurst - holding.burst;
+      // A holder at its target may still lack tokens that others returned.
+      long burst = Math.max(holding.targetBurst - holding.burst, holding.wanted);
       line.setGranted(account.grant(holder, rate, burst, now).toMessage());
     }
-    if (HomeDivision.hasExcess(account, holding)) {
+    if (HomeDivision.hasExcess(account, holding, account.isAnyWaiting())) {
       line.setKeep(keep(holding));
     }
-    return line.setScarce(scarce.getOrDefault(limit, false)).build();
+    return line.setScarce(isScarce(limit, now)).build();
   }
 
   private static ShareAmount keep(Holding holding) {
@@ -226,8 +243,9 @@
       if (!account.inDebt() && !isAnyShort(account)) {
         continue;
       }
+      boolean waiting = account.isAnyWaiting();
       for (Map.Entry<String, Holding> entry : account.holdings().entrySet()) {
-        if (HomeDivision.hasExcess(account, entry.getValue())) {
+        if (HomeDivision.hasExcess(account, entry.getValue(), waiting)) {
           GrantLine line =
               GrantLine.newBuilder()
                   .setLimit(account.spec().name())
--- a/limits/src/main/java/verbenahatch/limits/SharedLimits.java
+++ b/limits/src/main/java/verbenahatch/limits/SharedLimits.java
@@ -1,7 +1,6 @@
 package verbenahatch.limits;
 
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -253,6 +252,16 @@
     return CompletableFuture.failedFuture(new IllegalArgumentException("invalid " + kind));
   }
 
+  /**
+   * Tells whether the shares belong to the current incarnation of this process; otherwise they are
+   * not used and dropped at the next tick.
+   *
+   * @return true if they do
+   */
+  public boolean holdsShares() {
+    return lease.isCurrent();
+  }
+
   /**
    * Describes one limit at this host.
    *
@@ -262,7 +271,8 @@
    * @param share the share held here, in millionths of a token
    * @param waiting what requests wait for, in millionths of a token
    * @param scarce whether the demand reaches the total
-   * @param pool what is not handed out, if this host is the home
+   * @param pool what is not handed out, if this host is the home and may grant; negative while
+   *     shares above a lowered total are out
    * @param total the total in force
    */
   public record View(
@@ -300,8 +310,4 @@
     }
     return views;
   }
-
-  Collection<GroupHome> groups() {
-    return groups;
-  }
 }
--- a/limits/src/main/java/verbenahatch/limits/testing/LimitSimulation.java
+++ b/limits/src/main/java/verbenahatch/limits/testing/LimitSimulation.java
@@ -210,6 +210,17 @@
     network.advance(step);
   }
 
+  /**
+   * Tells whether a host may use its shares now or later.
+   *
+   * @param host the host
+   * @return false if its process is gone, or its incarnation was fenced and has lapsed
+   */
+  public boolean mayUseShares(SimulatedHost host) {
+    long fencedAt = fences.getOrDefault(host.self().incarnation(), Long.MAX_VALUE - LAPSE_NANOS);
+    return !host.killed && host.limits().holdsShares() && clock.nanoTime() < fencedAt + LAPSE_NANOS;
+  }
+
   private static PeerAddress address(int index) {
     return new PeerAddress("127.0.0.1", BASE_PORT + index);
   }
@@ -270,8 +281,7 @@
     }
     host.see(epoch, members);
     fences.forEach((incarnation, at) -> host.lapses.put(incarnation, at + LAPSE_NANOS));
-    if (document.generation() > host.config().document().map(d -> d.generation()).orElse(0L)
-        && isLate(now)) {
+    if (document.generation() > host.generation() && isLate(now)) {
       host.adopt(document);
     }
     if (fences.containsKey(host.self().incarnation())) {
--- a/limits/src/main/java/verbenahatch/limits/testing/SimulatedHost.java
+++ b/limits/src/main/java/verbenahatch/limits/testing/SimulatedHost.java
@@ -60,6 +60,15 @@
     return limits;
   }
 
+  /**
+   * Returns the generation of the document in force here.
+   *
+   * @return the generation, 0 before the first
+   */
+  public long generation() {
+    return document == null ? 0 : document.generation();
+  }
+
   ConfigView config() {
     return new Config();
   }
