--- /dev/null
+++ b/peer/src/main/java/verbenahatch/peer/PeerEvent.java
@@ -0,0 +1,40 @@
+package verbenahatch.peer;
+
+import verbenahatch.kernel.EventCode;
+
+/** Events of the link between hosts. */
+public enum PeerEvent implements EventCode {
+  /** The link accepts connections. */
+  LISTENING(3001, Level.INFO, "peer link listens on {}"),
+  /** A peer did not prove the fleet secret. */
+  STRANGER_REFUSED(3002, Level.WARN, "connection with {} refused: {}"),
+  /** A frame was garbled, replayed or oversized, so its connection was closed. */
+  FRAME_REFUSED(3003, Level.WARN, "connection with {} closed after a bad frame: {}"),
+  /** A connection gave no sign of life while calls timed out; the next call opens a new one. */
+  CONNECTION_SILENT(3004, Level.WARN, "connection to {} closed after {} timeouts in silence");
+
+  private final int number;
+  private final Level level;
+  private final String template;
+
+  PeerEvent(int number, Level level, String template) {
+    this.number = number;
+    this.level = level;
+    this.template = template;
+  }
+
+  @Override
+  public int number() {
+    return number;
+  }
+
+  @Override
+  public Level level() {
+    return level;
+  }
+
+  @Override
+  public String template() {
+    return template;
+  }
+}
