Add the callers' endpoint and the data path to targets

Cause: the fleet had no path from callers to targets. Change: a Jetty core server on HTTP/1.1 and HTTP/2 clear text matches the route, checks the key, admits, picks the least used target of the nearest region with a place, checks freshness and key again when the first byte is about to be written, and streams both ways.

--- /dev/null
+++ b/gateway/src/main/java/verbenahatch/gateway/CallerContent.java
@@ -0,0 +1,91 @@
+package verbenahatch.gateway;
+
+import java.util.function.LongConsumer;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.Trailers;
+import org.eclipse.jetty.io.Content;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Streams the body of a caller's request to a target and removes keys from its trailers.
+ *
+ * <p>Reads from the caller only when the target takes more, so a slow target slows the caller down
+ * and no body gathers in memory.
+ */
+final class CallerContent implements Request.Content {
+
+  private final Content.Source source;
+  private final long length;
+  private final @Nullable String key;
+  private final LongConsumer onBytes;
+  private Content.@Nullable Chunk first;
+  private volatile boolean touched;
+  private volatile HttpFields trailers = HttpFields.EMPTY;
+
+  CallerContent(
+      Content.Source source,
+      long length,
+      Content.@Nullable Chunk first,
+      @Nullable String key,
+      LongConsumer onBytes) {
+    this.source = source;
+    this.length = length;
+    this.first = first;
+    this.key = key;
+    this.onBytes = onBytes;
+  }
+
+  /** Tells whether a byte was taken from the caller, so that the body cannot be sent again. */
+  boolean isTouched() {
+    return touched;
+  }
+
+  HttpFields trailers() {
+    return trailers;
+  }
+
+  @Override
+  public long getLength() {
+    return length;
+  }
+
+  @Override
+  public Content.@Nullable Chunk read() {
+    touched = true;
+    Content.Chunk chunk = first;
+    if (chunk != null) {
+      first = null;
+    } else {
+      chunk = source.read();
+    }
+    if (chunk instanceof Trailers last) {
+      trailers = HeaderRules.trailers(last.getTrailers(), key);
+      return Content.Chunk.EOF;
+    }
+    if (chunk != null && chunk.hasRemaining()) {
+      onBytes.accept(chunk.remaining());
+    }
+    return chunk;
+  }
+
+  @Override
+  public void demand(Runnable demandCallback) {
+    source.demand(demandCallback);
+  }
+
+  @Override
+  public void fail(Throwable failure) {
+    // An attempt that took nothing leaves the body to the next attempt.
+    if (touched) {
+      source.fail(failure);
+    }
+  }
+
+  @Override
+  public void fail(Throwable failure, boolean last) {
+    if (touched) {
+      source.fail(failure, last);
+    }
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/verbenahatch/gateway/GatewayEvent.java
@@ -0,0 +1,44 @@
+package verbenahatch.gateway;
+
+import verbenahatch.kernel.EventCode;
+
+/** Events of the gateway. */
+public enum GatewayEvent implements EventCode {
+  /** The callers' endpoint is open. */
+  LISTENING(7001, Level.INFO, "callers' endpoint listens on {}:{}"),
+  /** A graceful stop has begun. */
+  LEAVING(7002, Level.INFO, "leaving: advice drops this host, {} requests run"),
+  /** A graceful stop is over. */
+  DRAINED(7003, Level.INFO, "drained: {} requests were still running"),
+  /** A target answered a request that it was not asked on this connection. */
+  ANSWER_MISMATCHED(7004, Level.WARN, "target {} answered another request; connection closed"),
+  /** A request failed inside the gateway. */
+  REQUEST_FAILED(7005, Level.ERROR, "request failed inside the gateway: {}"),
+  /** A request to a target timed out, so idle connections to the target are closed. */
+  TARGET_SILENT(7006, Level.WARN, "target {} was silent; {} idle connections closed");
+
+  private final int number;
+  private final Level level;
+  private final String template;
+
+  GatewayEvent(int number, Level level, String template) {
+    this.number = number;
+    this.level = level;
+    this.template = template;
+  }
+
+  @Override
+  public int number() {
+    return number;
+  }
+
+  @Override
+  public Level level() {
+    return level;
+  }
+
+  @Override
+  public String template() {
+    return template;
+  }
+}
--- /dev/null
+++ b/gateway/src/main/java/verbenahatch/gateway/IdleConnections.java
@@ -0,0 +1,55 @@
+package verbenahatch.gateway;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.eclipse.jetty.client.AbstractConnectionPool;
+import org.eclipse.jetty.client.Connection;
+import org.eclipse.jetty.client.ConnectionPool;
+import org.eclipse.jetty.client.Destination;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Origin;
+
+/** Closes pooled connections that no request uses. */
+final class IdleConnections {
+
+  private IdleConnections() {}
+
+  /**
+   * Closes the idle connections to one address.
+   *
+   * @param client the client that pools them
+   * @param address the IP number
+   * @param port the TCP port
+   * @return how many were closed
+   */
+  static int close(HttpClient client, String address, int port) {
+    int closed = 0;
+    for (Destination destination : client.getDestinations()) {
+      Origin.Address target = destination.getOrigin().getAddress();
+      if (target.getPort() == port && target.getHost().equals(address)) {
+        closed += close(destination.getConnectionPool());
+      }
+    }
+    return closed;
+  }
+
+  private static int close(ConnectionPool pool) {
+    if (!(pool instanceof AbstractConnectionPool connections)) {
+      return 0;
+    }
+    List<Connection> idle = new ArrayList<>();
+    int most = connections.getIdleConnectionCount();
+    while (idle.size() < most) {
+      Connection connection = connections.acquire(false);
+      if (connection == null) {
+        break;
+      }
+      idle.add(connection);
+    }
+    for (Connection connection : idle) {
+      connections.remove(connection);
+      connection.close();
+    }
+    return idle.size();
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/verbenahatch/gateway/GatewayServerTest.java
@@ -0,0 +1,224 @@
+package verbenahatch.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.util.Set;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import verbenahatch.fleet.KeyCheck;
+import verbenahatch.limits.Admission;
+
+/** Guards the path of a request and each promise of its outcome. */
+class GatewayServerTest {
+
+  private GatewayFixture gateway;
+
+  @BeforeEach
+  void start() throws Exception {
+    gateway = new GatewayFixture();
+  }
+
+  @AfterEach
+  void stop() throws Exception {
+    gateway.close();
+  }
+
+  @Test
+  void servesKeyedRequestWithoutPassingTheKeyOn() throws Exception {
+    ScriptedTarget target = ScriptedTarget.answering("proof");
+    gateway.target(target, "dakar");
+    HttpResponse<String> response =
+        gateway.send(
+            gateway
+                .keyed("/proofs/1?a=1&k=" + Fakes.KEY + "&b=%76h_" + Fakes.KEY.substring(3))
+                .header("Cookie", "a=b; k=" + Fakes.KEY)
+                .header("X-Copy", "x" + Fakes.KEY)
+                .header("X-Kept", "yes"));
+    assertEquals(200, response.statusCode());
+    assertEquals("proof", response.body());
+    assertEquals("run", GatewayFixture.outcome(response));
+    String head = target.heads.get(0);
+    assertFalse(head.contains("0123456789abcdef"), head);
+    assertTrue(head.startsWith("GET /proofs/1?a=1 HTTP/1.1"), head);
+    assertEquals("a=b", ScriptedTarget.header(head, "cookie"));
+    assertEquals("yes", ScriptedTarget.header(head, "x-kept"));
+    assertEquals("ateliers", ScriptedTarget.header(head, "verbenahatch-workspace"));
+    assertFalse(ScriptedTarget.header(head, "verbenahatch-deadline-millis").isEmpty());
+  }
+
+  @Test
+  void servesHttp2InClearText() throws Exception {
+    gateway.target(ScriptedTarget.answering("proof"), "dakar");
+    HttpClient http2 = HttpClient.newBuilder().version(HttpClient.Version.HTTP_2).build();
+    for (int i = 0; i < 2; i++) {
+      HttpResponse<String> response =
+          http2.send(gateway.keyed("/proofs/1").build(), BodyHandlers.ofString());
+      assertEquals("proof", response.body());
+      assertEquals(HttpClient.Version.HTTP_2, response.version());
+    }
+  }
+
+  @Test
+  void refusesWhatNeverReachesTheTarget() throws Exception {
+    ScriptedTarget target = ScriptedTarget.answering("x");
+    gateway.target(target, "dakar");
+    assertEquals("no-route", reason("/nowhere"));
+    assertEquals("no-route", reason("/proofsx"));
+    assertEquals("key-missing", GatewayFixture.reason(gateway.send(gateway.request("/proofs"))));
+    assertEquals("key-in-path", reason("/proofs/" + Fakes.KEY));
+    assertEquals("method-not-allowed", reason("/orders"));
+    gateway.limits.admission = new Admission.OverLimit(1_500);
+    HttpResponse<String> over = gateway.send(gateway.keyed("/proofs"));
+    assertEquals(429, over.statusCode());
+    assertEquals("2", over.headers().firstValue("Retry-After").orElse(""));
+    gateway.limits.admission = new Admission.Admitted();
+    gateway.keys.keys.put(Fakes.KEY, new KeyCheck.Withdrawn());
+    assertEquals("key-withdrawn", reason("/proofs"));
+    gateway.keys.keys.put(Fakes.KEY, new KeyCheck.NotFresh());
+    assertEquals("host-not-fresh", reason("/proofs"));
+    assertEquals(0, target.heads.size());
+  }
+
+  private String reason(String path) throws Exception {
+    return GatewayFixture.reason(gateway.send(gateway.keyed(path)));
+  }
+
+  @Test
+  void keyWithdrawnWhileTheRequestWaitsIsRefusedBeforeTheFirstByte() throws Exception {
+    ScriptedTarget target = ScriptedTarget.answering("x");
+    gateway.target(target, "dakar");
+    gateway.keys.beforeRecheck = () -> gateway.keys.keys.put(Fakes.KEY, new KeyCheck.Withdrawn());
+    HttpResponse<String> response = gateway.send(gateway.keyed("/proofs"));
+    assertEquals("key-withdrawn", GatewayFixture.reason(response));
+    assertEquals("not-run", GatewayFixture.outcome(response));
+    assertEquals(0, target.heads.size());
+    assertEquals(0, gateway.limits.inRegions.get());
+  }
+
+  @Test
+  void idempotentRequestMovesToAnotherTargetAndOthersDoNot() throws Exception {
+    gateway.target(new ScriptedTarget((head, socket) -> false), "dakar");
+    ScriptedTarget good = ScriptedTarget.answering("ok");
+    gateway.target(good, "thies");
+    assertEquals("ok", gateway.send(gateway.keyed("/proofs")).body());
+    HttpResponse<String> order =
+        gateway.send(gateway.keyed("/orders").POST(BodyPublishers.ofString("x")));
+    assertEquals("target-failed", GatewayFixture.reason(order));
+    assertEquals("unknown", GatewayFixture.outcome(order));
+    assertEquals(1, good.heads.size());
+  }
+
+  @Test
+  void requestMovesOnWhenNoConnectionCouldBeOpened() throws Exception {
+    ScriptedTarget gone = ScriptedTarget.answering("x");
+    gateway.target(gone, "dakar");
+    gone.close();
+    gateway.target(ScriptedTarget.answering("ok"), "thies");
+    HttpResponse<String> order =
+        gateway.send(gateway.keyed("/orders").POST(BodyPublishers.ofString("x")));
+    assertEquals("ok", order.body());
+  }
+
+  @Test
+  void truncatedAnswerEndsAsBroken() throws Exception {
+    gateway.target(
+        new ScriptedTarget(
+            (head, socket) -> {
+              String whole = ScriptedTarget.ok(head, "x".repeat(200_000));
+              ScriptedTarget.write(socket, whole.substring(0, 100_000));
+              return false;
+            }),
+        "dakar");
+    assertThrows(IOException.class, () -> gateway.send(gateway.keyed("/proofs")));
+  }
+
+  @Test
+  void answerToAnotherRequestIsNotPassedOn() throws Exception {
+    gateway.target(
+        new ScriptedTarget(
+            (head, socket) -> {
+              String other = "GET / HTTP/1.1\r\nverbenahatch-request-id: other\r\n\r\n";
+              return ScriptedTarget.write(socket, ScriptedTarget.ok(other, "other"));
+            }),
+        "dakar");
+    HttpResponse<String> response = gateway.send(gateway.keyed("/proofs"));
+    assertEquals("answer-mismatched", GatewayFixture.reason(response));
+  }
+
+  @Test
+  void silentTargetIsLeftAtTheDeadlineAndItsConnectionIsClosed() throws Exception {
+    CountDownLatch closed = new CountDownLatch(1);
+    gateway.target(
+        new ScriptedTarget(
+            (head, socket) -> {
+              if (socket.getInputStream().read() < 0) {
+                closed.countDown();
+              }
+              return false;
+            }),
+        "dakar");
+    HttpResponse<String> response =
+        gateway.send(
+            gateway
+                .keyed("/orders")
+                .header(HeaderNames.DEADLINE, "200")
+                .POST(BodyPublishers.ofString("x")));
+    assertEquals("deadline-exceeded", GatewayFixture.reason(response));
+    assertEquals("unknown", GatewayFixture.outcome(response));
+    assertTrue(closed.await(5, TimeUnit.SECONDS));
+  }
+
+  @Test
+  void shedRequestIsRefusedAsNotRun() throws Exception {
+    gateway.target(
+        new ScriptedTarget(
+            (head, socket) ->
+                ScriptedTarget.write(
+                    socket,
+                    "HTTP/1.1 503 X\r\nVerbenahatch-Shed: not-run\r\nContent-Length: 0\r\n\r\n")),
+        "dakar");
+    HttpResponse<String> order =
+        gateway.send(gateway.keyed("/orders").POST(BodyPublishers.ofString("x")));
+    assertEquals("target-shed", GatewayFixture.reason(order));
+    assertEquals("not-run", GatewayFixture.outcome(order));
+    assertEquals(0, gateway.releases.failures.get());
+  }
+
+  @Test
+  void fullRegionSpillsOver() throws Exception {
+    gateway.target(ScriptedTarget.answering("near"), "dakar");
+    gateway.target(ScriptedTarget.answering("far"), "thies");
+    gateway.limits.fullRegions = Set.of("dakar");
+    assertEquals("far", gateway.send(gateway.keyed("/proofs")).body());
+  }
+
+  @Test
+  void hostThatIsNotFreshServesOpenRoutesOfItsRegionOnly() throws Exception {
+    gateway.target(ScriptedTarget.answering("far"), "thies");
+    gateway.fleet.fresh = false;
+    assertEquals("no-capacity", GatewayFixture.reason(gateway.send(gateway.request("/public/a"))));
+    gateway.target(ScriptedTarget.answering("near"), "dakar");
+    assertEquals("near", gateway.send(gateway.request("/public/a")).body());
+    assertEquals("host-not-fresh", reason("/proofs"));
+  }
+
+  @Test
+  void entryAdviceDropsALeavingHostThatStillServes() throws Exception {
+    gateway.target(ScriptedTarget.answering("x"), "dakar");
+    assertTrue(gateway.send(gateway.request("/v1/entry")).body().contains("entry-1"));
+    gateway.server.beginDrain();
+    assertFalse(gateway.send(gateway.request("/v1/entry")).body().contains("entry-1"));
+    assertEquals(200, gateway.send(gateway.keyed("/proofs")).statusCode());
+  }
+}
--- /dev/null
+++ b/gateway/src/test/java/verbenahatch/gateway/ScriptedTarget.java
@@ -0,0 +1,128 @@
+package verbenahatch.gateway;
+
+import java.io.BufferedInputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Queue;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+
+/** Answers raw bytes chosen by a test, so that answers can be broken in any way. */
+final class ScriptedTarget implements AutoCloseable {
+
+  /** Decides what to do with one request. */
+  interface Script {
+
+    /**
+     * Handles one request.
+     *
+     * @param head the request line and header lines
+     * @param socket the connection
+     * @return false to close the connection
+     * @throws IOException if the connection fails
+     */
+    boolean handle(String head, Socket socket) throws IOException;
+  }
+
+  private final ServerSocket listener;
+  private final ExecutorService threads = Executors.newCachedThreadPool();
+  private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
+  private final Script script;
+  final List<String> heads = new java.util.concurrent.CopyOnWriteArrayList<>();
+
+  ScriptedTarget(Script script) throws IOException {
+    this.script = script;
+    listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    threads.execute(this::accept);
+  }
+
+  static ScriptedTarget answering(String body) throws IOException {
+    return new ScriptedTarget((head, socket) -> write(socket, ok(head, body)));
+  }
+
+  static boolean write(Socket socket, String text) throws IOException {
+    socket.getOutputStream().write(text.getBytes(StandardCharsets.ISO_8859_1));
+    socket.getOutputStream().flush();
+    return true;
+  }
+
+  static String ok(String head, String body) {
+    return "HTTP/1.1 200 OK\r\n"
+        + "Verbenahatch-Request-Id: "
+        + header(head, "verbenahatch-request-id")
+        + "\r\nContent-Length: "
+        + body.length()
+        + "\r\n\r\n"
+        + body;
+  }
+
+  static String header(String head, String name) {
+    for (String line : head.split("\r\n", -1)) {
+      if (line.toLowerCase(java.util.Locale.ROOT).startsWith(name + ":")) {
+        return line.substring(name.length() + 1).trim();
+      }
+    }
+    return "";
+  }
+
+  int port() {
+    return listener.getLocalPort();
+  }
+
+  private void accept() {
+    try {
+      while (!listener.isClosed()) {
+        Socket socket = listener.accept();
+        sockets.add(socket);
+        threads.execute(() -> serve(socket));
+      }
+    } catch (IOException e) {
+      // The listener was closed.
+    }
+  }
+
+  private void serve(Socket socket) {
+    try (socket) {
+      InputStream in = new BufferedInputStream(socket.getInputStream());
+      for (String head = head(in); !head.isEmpty(); head = head(in)) {
+        heads.add(head);
+        String length = header(head, "content-length");
+        if (!length.isEmpty()) {
+          in.skipNBytes(Long.parseLong(length));
+        }
+        if (!script.handle(head, socket)) {
+          return;
+        }
+      }
+    } catch (IOException e) {
+      // The gateway closed the connection.
+    }
+  }
+
+  private static String head(InputStream in) throws IOException {
+    StringBuilder text = new StringBuilder();
+    while (text.indexOf("\r\n\r\n") < 0) {
+      int next = in.read();
+      if (next < 0) {
+        return "";
+      }
+      text.append((char) next);
+    }
+    return text.toString();
+  }
+
+  @Override
+  public void close() throws IOException {
+    listener.close();
+    for (Socket socket : sockets) {
+      socket.close();
+    }
+    threads.shutdownNow();
+  }
+}
