--- a/gateway/src/test/java/verbenahatch/gateway/GatewayServerTest.java
+++ b/gateway/src/test/java/verbenahatch/gateway/GatewayServerTest.java
@@ -116,6 +116,9 @@
         gateway.send(gateway.keyed("/orders").POST(BodyPublishers.ofString("x")));
     assertEquals("target-failed", GatewayFixture.reason(order));
     assertEquals("unknown", GatewayFixture.outcome(order));
+    HttpResponse<String> empty =
+        gateway.send(gateway.keyed("/orders").POST(BodyPublishers.noBody()));
+    assertEquals("target-failed", GatewayFixture.reason(empty));
     assertEquals(1, good.heads.size());
   }
 
@@ -195,6 +198,20 @@
     assertEquals(0, gateway.releases.failures.get());
   }
 
+  @Test
+  void shedRetryDoesNotHideThatTheFirstAttemptMayHaveRun() throws Exception {
+    gateway.target(new ScriptedTarget((head, socket) -> false), "dakar");
+    gateway.target(
+        new ScriptedTarget(
+            (head, socket) ->
+                ScriptedTarget.write(
+                    socket,
+                    "HTTP/1.1 503 X\r\nVerbenahatch-Shed: not-run\r\nContent-Length: 0\r\n\r\n")),
+        "thies");
+    HttpResponse<String> response = gateway.send(gateway.keyed("/proofs"));
+    assertEquals("unknown", GatewayFixture.outcome(response));
+  }
+
   @Test
   void fullRegionSpillsOver() throws Exception {
     gateway.target(ScriptedTarget.answering("near"), "dakar");
