--- /dev/null
+++ b/fleet/src/main/java/verbenahatch/fleet/FactSet.java
@@ -0,0 +1,52 @@
+package verbenahatch.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+
+/**
+ * Holds the facts known to this host in the order in which they became known.
+ *
+ * <p>The position in that order is the cursor by which peers ask for what they lack. Not
+ * thread-safe.
+ */
+final class FactSet {
+
+  private final Map<Fact, Integer> positions = new HashMap<>();
+  private final List<Fact> log = new ArrayList<>();
+
+  /**
+   * Adds a fact.
+   *
+   * @param fact the fact
+   * @return true if it was not known before
+   */
+  boolean add(Fact fact) {
+    if (positions.putIfAbsent(fact, log.size()) != null) {
+      return false;
+    }
+    log.add(fact);
+    return true;
+  }
+
+  boolean contains(Fact fact) {
+    return positions.containsKey(fact);
+  }
+
+  /** Returns the position of a fact, or -1 if it is not known. */
+  int position(Fact fact) {
+    return positions.getOrDefault(fact, -1);
+  }
+
+  /** Returns up to {@code limit} facts from a position on. */
+  List<Fact> after(long cursor, int limit) {
+    int from = (int) Math.min(Math.max(cursor, 0), log.size());
+    int to = Math.min(log.size(), from + limit);
+    return List.copyOf(log.subList(from, to));
+  }
+
+  int size() {
+    return log.size();
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetCore.java
@@ -0,0 +1,387 @@
+package verbenahatch.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.function.Consumer;
+import java.util.function.Predicate;
+import verbenahatch.kernel.Clock;
+import verbenahatch.kernel.Events;
+
+/**
+ * Holds members, contacts and facts, and derives freshness from them.
+ *
+ * <p>Thread-safe: changes run under one lock; the request path reads volatile snapshots. Listeners
+ * run after the lock is released, but {@code factHook} runs inside it, so that a fact has its effect
+ * on keys before a contact that proves its arrival can make the host fresh.
+ */
+final class FleetCore {
+
+  private final Clock clock;
+  private final Events events;
+  private final ContactTable contacts = new ContactTable();
+  private final FactSet facts = new FactSet();
+  private final Set<Fact> knownFacts = ConcurrentHashMap.newKeySet();
+  private final Map<String, Long> heldByCursor = new HashMap<>();
+  private final Map<String, Long> memberSince = new HashMap<>();
+  private final Map<String, Long> goneSince = new ConcurrentHashMap<>();
+  private final List<Consumer<Fact>> factListeners = new CopyOnWriteArrayList<>();
+  private final List<Consumer<List<Member>>> listeners = new CopyOnWriteArrayList<>();
+  private final Consumer<Fact> factHook;
+  private volatile Member self;
+  private volatile MembersRecord record = MembersRecord.NONE;
+  private volatile Freshness freshness = Freshness.NEVER;
+  private volatile boolean departed;
+  private long adoptedAt;
+  private long settledEpoch;
+  private long freshSince;
+  private boolean wasFresh;
+  private Set<String> contactsSeen = Set.of();
+  private Set<String> lapsedSeen = Set.of();
+
+  FleetCore(Member self, Clock clock, Events events, Consumer<Fact> factHook) {
+    this.self = self;
+    this.clock = clock;
+    this.events = events;
+    this.factHook = factHook;
+  }
+
+  Clock clock() {
+    return clock;
+  }
+
+  Events events() {
+    return events;
+  }
+
+  Member self() {
+    return self;
+  }
+
+  MembersRecord record() {
+    return record;
+  }
+
+  boolean isMember() {
+    return record.contains(self.incarnation());
+  }
+
+  void onFact(Consumer<Fact> listener) {
+    factListeners.add(listener);
+  }
+
+  void onChange(Consumer<List<Member>> listener) {
+    listeners.add(listener);
+  }
+
+  boolean isFresh() {
+    return freshNanosLeft() > 0;
+  }
+
+  long freshNanosLeft() {
+    // The freshness is read before the clock, so that a pause between the two shortens the result.
+    Freshness current = freshness;
+    return departed ? 0 : current.nanosLeft(clock.nanoTime());
+  }
+
+  /** Returns how long this host has been fresh without a break, 0 if it is not fresh. */
+  synchronized long freshForNanos() {
+    return isFresh() && wasFresh ? clock.nanoTime() - freshSince : 0;
+  }
+
+  boolean contains(Fact fact) {
+    return knownFacts.contains(fact);
+  }
+
+  boolean isFenced(String incarnation) {
+    return knownFacts.contains(new Fact.HostFenced(incarnation));
+  }
+
+  boolean isLapsed(String incarnation) {
+    Long since = goneSince.get(incarnation);
+    return since != null && clock.nanoTime() - since >= Timing.LAPSE_WAIT.toNanos();
+  }
+
+  synchronized boolean isInContact(String incarnation) {
+    return incarnation.equals(self.incarnation())
+        || contacts.isInContact(incarnation, clock.nanoTime());
+  }
+
+  synchronized boolean isReplaced(String incarnation) {
+    return contacts.isReplaced(incarnation);
+  }
+
+  synchronized long ageNanos(String incarnation) {
+    return contacts.ageNanos(incarnation, clock.nanoTime()).orElse(Long.MAX_VALUE);
+  }
+
+  synchronized boolean isStoreDownAt(String incarnation) {
+    ContactTable.Contact last = contacts.last(incarnation);
+    return last != null && last.storeDown();
+  }
+
+  /** Returns the members that were in contact, with this host if it is one. */
+  synchronized List<Member> membersInContact() {
+    return record.members().stream().filter(m -> isInContact(m.incarnation())).toList();
+  }
+
+  /**
+   * Tells whether a member has been out of contact with every host known to this one for longer
+   * than {@link Timing#SUSPECT_AFTER}, or another incarnation answers at its address.
+   */
+  synchronized boolean isSuspect(Member member) {
+    String incarnation = member.incarnation();
+    if (incarnation.equals(self.incarnation())) {
+      return false;
+    }
+    if (contacts.isReplaced(incarnation)) {
+      return true;
+    }
+    long now = clock.nanoTime();
+    long bound = Timing.SUSPECT_AFTER.toNanos();
+    return now - memberSince.getOrDefault(incarnation, now) > bound
+        && contacts.ageNanos(incarnation, now).orElse(Long.MAX_VALUE) > bound;
+  }
+
+  /** Replaces the identity of a fenced process. */
+  synchronized void renew(String incarnation) {
+    Member old = self;
+    self =
+        new Member(
+            old.host(),
+            incarnation,
+            old.region(),
+            old.zone(),
+            old.peer(),
+            old.entryUrl(),
+            old.leaving());
+    update();
+  }
+
+  synchronized void markLeaving() {
+    Member old = self;
+    self =
+        new Member(
+            old.host(),
+            old.incarnation(),
+            old.region(),
+            old.zone(),
+            old.peer(),
+            old.entryUrl(),
+            true);
+  }
+
+  /** Ends the use of keys and shares for good, before this host removes itself. */
+  void depart() {
+    departed = true;
+  }
+
+  /**
+   * Adopts the members of a higher epoch.
+   *
+   * @param newer the record
+   * @return true if it was newer
+   */
+  boolean adopt(MembersRecord newer) {
+    List<Fact> added = new ArrayList<>();
+    synchronized (this) {
+      if (newer.epoch() <= record.epoch()) {
+        return false;
+      }
+      for (String incarnation : newer.removed()) {
+        addLocked(new Fact.HostFenced(incarnation), added);
+      }
+      MembersRecord old = record;
+      record = newer;
+      adoptedAt = clock.nanoTime();
+      noteMembers(old, newer);
+      update();
+    }
+    events.log(FleetEvent.MEMBERS_ADOPTED, newer.epoch(), newer.members().size());
+    tellFacts(added);
+    tellChange();
+    return true;
+  }
+
+  private void noteMembers(MembersRecord old, MembersRecord newer) {
+    for (Member member : newer.members()) {
+      memberSince.putIfAbsent(member.incarnation(), adoptedAt);
+    }
+    Set<String> present = new HashSet<>();
+    newer.members().forEach(m -> present.add(m.incarnation()));
+    memberSince.keySet().retainAll(present);
+    contacts.retain(present);
+    heldByCursor.keySet().retainAll(present);
+    for (Member member : old.members()) {
+      if (!present.contains(member.incarnation())) {
+        goneSince.putIfAbsent(member.incarnation(), adoptedAt);
+      }
+    }
+    newer.removed().forEach(gone -> goneSince.putIfAbsent(gone, adoptedAt));
+  }
+
+  /** Adds facts from the store, a peer or this host; returns those that were not known. */
+  List<Fact> addFacts(List<Fact> found) {
+    List<Fact> added = new ArrayList<>();
+    synchronized (this) {
+      for (Fact fact : found) {
+        addLocked(fact, added);
+      }
+      if (!added.isEmpty()) {
+        update();
+      }
+    }
+    tellFacts(added);
+    return added;
+  }
+
+  private void addLocked(Fact fact, List<Fact> added) {
+    if (!facts.add(fact)) {
+      return;
+    }
+    knownFacts.add(fact);
+    factHook.accept(fact);
+    added.add(fact);
+  }
+
+  /** Returns facts of this host's log from a position on. */
+  synchronized List<Fact> factsAfter(long cursor, int limit) {
+    return facts.after(cursor, limit);
+  }
+
+  synchronized int factCount() {
+    return facts.size();
+  }
+
+  /** Notes that a peer holds the first facts of this host's log. */
+  synchronized void noteHeld(String incarnation, long cursor) {
+    heldByCursor.merge(incarnation, Math.min(cursor, facts.size()), Math::max);
+  }
+
+  /** Tells whether a peer is known to hold a fact through its polls. */
+  synchronized boolean isHeldBy(String incarnation, Fact fact) {
+    int position = facts.position(fact);
+    return position >= 0 && heldByCursor.getOrDefault(incarnation, 0L) > position;
+  }
+
+  /** Records contacts by incarnation; facts and members they imply must be merged before. */
+  void recordContacts(Map<String, ContactTable.Contact> seen) {
+    synchronized (this) {
+      for (Map.Entry<String, ContactTable.Contact> entry : seen.entrySet()) {
+        if (record.contains(entry.getKey()) && !entry.getKey().equals(self.incarnation())) {
+          contacts.record(entry.getKey(), entry.getValue());
+        }
+      }
+      update();
+    }
+  }
+
+  synchronized void markReplaced(String incarnation, long startNanos) {
+    if (record.contains(incarnation)) {
+      contacts.markReplaced(incarnation, startNanos);
+    }
+  }
+
+  synchronized ContactTable.Contact contactOf(String incarnation) {
+    ContactTable.Contact last = contacts.last(incarnation);
+    return last == null ? new ContactTable.Contact(0, 0, 0, false) : last;
+  }
+
+  /** Recomputes freshness and tells listeners of changes of contact; called at every tick. */
+  void refresh() {
+    boolean changed;
+    synchronized (this) {
+      update();
+      Set<String> inContact = new HashSet<>();
+      for (Member member : record.members()) {
+        if (isInContact(member.incarnation())) {
+          inContact.add(member.incarnation());
+        }
+      }
+      Set<String> lapsed = new HashSet<>();
+      for (String gone : goneSince.keySet()) {
+        if (isLapsed(gone)) {
+          lapsed.add(gone);
+        }
+      }
+      changed = !inContact.equals(contactsSeen) || !lapsed.equals(lapsedSeen);
+      contactsSeen = inContact;
+      lapsedSeen = lapsed;
+    }
+    if (changed) {
+      tellChange();
+    }
+  }
+
+  private void update() {
+    long now = clock.nanoTime();
+    boolean fenced = isFenced(self.incarnation());
+    freshness =
+        fenced ? Freshness.NEVER : Freshness.of(record, self.incarnation(), contacts, now);
+    boolean fresh = freshness.isFresh(now) && !departed;
+    if (fresh != wasFresh) {
+      wasFresh = fresh;
+      freshSince = now;
+      events.log(fresh ? FleetEvent.FRESH : FleetEvent.NOT_FRESH, record.members().size());
+    }
+    if (settledEpoch < record.epoch() && hasQuorum(this::isSettledContact)) {
+      settledEpoch = record.epoch();
+    }
+  }
+
+  private boolean isSettledContact(Member member) {
+    if (member.incarnation().equals(self.incarnation())) {
+      return true;
+    }
+    ContactTable.Contact last = contacts.last(member.incarnation());
+    return last != null && last.epoch() >= record.epoch() && last.startNanos() - adoptedAt >= 0;
+  }
+
+  /**
+   * Returns the newest epoch for which this host, after it adopted it, had contact with a majority
+   * that held it. Facts accepted in an earlier epoch are then known here.
+   */
+  synchronized long settledEpoch() {
+    return settledEpoch;
+  }
+
+  /** Tells whether a quorum of the newest epoch has settled it, so that the next may be written. */
+  synchronized boolean isEpochSettled() {
+    long epoch = record.epoch();
+    return settledEpoch >= epoch
+        && hasQuorum(
+            m ->
+                m.incarnation().equals(self.incarnation())
+                    || contactOf(m.incarnation()).settledEpoch() >= epoch);
+  }
+
+  /**
+   * Tells whether a majority of the members passes a test, or all those do whose process certainly
+   * was not replaced by another. The second case lets a fleet go on after all its hosts restarted.
+   */
+  synchronized boolean hasQuorum(Predicate<Member> test) {
+    if (record.isMajority(test)) {
+      return true;
+    }
+    return record.epoch() > 0
+        && record.members().stream()
+            .allMatch(m -> test.test(m) || contacts.isReplaced(m.incarnation()));
+  }
+
+  private void tellFacts(List<Fact> added) {
+    for (Fact fact : added) {
+      events.log(FleetEvent.FACT_KNOWN, fact);
+      factListeners.forEach(listener -> listener.accept(fact));
+    }
+  }
+
+  private void tellChange() {
+    List<Member> members = record.members();
+    listeners.forEach(listener -> listener.accept(members));
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/verbenahatch/fleet/Membership.java
@@ -0,0 +1,271 @@
+package verbenahatch.fleet;
+
+import java.time.Duration;
+import java.util.List;
+import java.util.Optional;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import verbenahatch.kernel.JsonException;
+import verbenahatch.kernel.Result;
+import verbenahatch.store.StoreError;
+import verbenahatch.store.StoredObject;
+
+/**
+ * Adds and removes members, one per epoch, by conditional writes of {@code members/fleet}.
+ *
+ * <p>Each call of {@link #step()} makes at most one change and never waits for peers. It runs on one
+ * thread. A write whose answer is lost needs no memory of its own: the next step reads the record
+ * back and goes on from what it finds.
+ */
+final class Membership {
+
+  /**
+   * Time for which this host must have been fresh before it fences another. A host that wakes from a
+   * pause has old contacts with everybody until the first answers have brought those of the others.
+   */
+  private static final Duration STEADY = Timing.PULSE_INTERVAL.multipliedBy(2);
+
+  /** A record read from the store with its version. */
+  private record Read(MembersRecord record, long version) {}
+
+  private final FleetCore core;
+  private final StoreAccess store;
+  private final FactSpreader facts;
+  private final StoreWatcher watcher;
+  private final Supplier<String> newIds;
+  private boolean readAll;
+  private long lastRead;
+  private boolean everRead;
+  private boolean joinedLogged;
+  private @Nullable String unsettledWrite;
+
+  Membership(
+      FleetCore core,
+      StoreAccess store,
+      FactSpreader facts,
+      StoreWatcher watcher,
+      Supplier<String> newIds) {
+    this.core = core;
+    this.store = store;
+    this.facts = facts;
+    this.watcher = watcher;
+    this.newIds = newIds;
+  }
+
+  /** Does what is due: renew a fenced identity, join, mark as leaving, or remove a member. */
+  void step() {
+    Member self = core.self();
+    if (core.isFenced(self.incarnation())) {
+      renew(self);
+      return;
+    }
+    if (core.isMember()) {
+      memberStep(self);
+    } else {
+      joinedLogged = false;
+      joinStep(self);
+    }
+  }
+
+  private void renew(Member self) {
+    String fresh = newIds.get();
+    core.events().log(FleetEvent.SELF_FENCED, self.incarnation(), fresh);
+    core.renew(fresh);
+  }
+
+  private void memberStep(Member self) {
+    if (!joinedLogged) {
+      joinedLogged = true;
+      core.events().log(FleetEvent.JOINED, self.incarnation(), core.record().epoch());
+    }
+    Member listed = core.record().find(self.incarnation());
+    if (listed != null && listed.leaving() != self.leaving()) {
+      change(read -> read.record().with(self));
+      return;
+    }
+    removeSuspects(self);
+  }
+
+  private void removeSuspects(Member self) {
+    if (core.freshForNanos() < STEADY.toNanos()) {
+      return;
+    }
+    List<Member> suspects =
+        core.record().members().stream()
+            .filter(m -> core.isSuspect(m) || core.isFenced(m.incarnation()))
+            .filter(m -> isSteward(self, m))
+            .toList();
+    if (!suspects.isEmpty()) {
+      remove(suspects);
+    }
+  }
+
+  /** Tells whether this host should act on a suspect; others do when it is out of contact. */
+  private boolean isSteward(Member self, Member suspect) {
+    List<Member> able =
+        core.membersInContact().stream()
+            .filter(m -> !core.isFenced(m.incarnation()))
+            .filter(m -> !core.isStoreDownAt(m.incarnation()))
+            .toList();
+    Optional<Member> first = Rendezvous.first("steward/" + suspect.incarnation(), able);
+    return first.isPresent() && first.get().incarnation().equals(self.incarnation());
+  }
+
+  /** Fences all suspects and removes the first one that a quorum knows to be fenced. */
+  private void remove(List<Member> suspects) {
+    // The read comes first: no host is fenced while the store is down.
+    Read read = read();
+    if (read == null || !isCurrent(read)) {
+      return;
+    }
+    for (Member suspect : suspects) {
+      Fact.HostFenced fence = new Fact.HostFenced(suspect.incarnation());
+      if (!facts.isPublished(fence)) {
+        String why = core.isReplaced(suspect.incarnation()) ? "replaced" : "out of contact";
+        core.events()
+            .log(
+                FleetEvent.FENCING, suspect.host(), suspect.incarnation(), suspect.zone(), why);
+        facts.publish(fence, Timing.CALL_TIMEOUT);
+      }
+    }
+    if (!core.isEpochSettled()) {
+      return;
+    }
+    for (Member suspect : suspects) {
+      if (facts.isHeldByQuorum(new Fact.HostFenced(suspect.incarnation()))) {
+        if (write(read, read.record().without(suspect.incarnation()))) {
+          core.events()
+              .log(
+                  FleetEvent.REMOVED,
+                  suspect.host(),
+                  suspect.incarnation(),
+                  read.record().epoch() + 1);
+        }
+        return;
+      }
+    }
+  }
+
+  private void joinStep(Member self) {
+    long now = core.clock().nanoTime();
+    if (everRead && now - lastRead < Timing.JOIN_INTERVAL.toNanos()) {
+      return;
+    }
+    lastRead = now;
+    everRead = true;
+    if (self.leaving()) {
+      return;
+    }
+    if (!readAll) {
+      readAll = watcher.readAll();
+    }
+    Read read = read();
+    if (!readAll || read == null || !isCurrent(read)) {
+      return;
+    }
+    Optional<Member> predecessor = read.record().predecessorOf(self);
+    if (predecessor.isPresent()) {
+      // This process owns the address now, so the one before it is gone.
+      core.markReplaced(predecessor.get().incarnation(), now);
+      remove(List.of(predecessor.get()));
+      return;
+    }
+    if (read.record().members().isEmpty() || core.isEpochSettled()) {
+      write(read, read.record().with(self));
+    }
+  }
+
+  /** Removes this host; the caller repeats it until it returns true. */
+  boolean leaveStep() {
+    Member self = core.self();
+    if (!core.isMember()) {
+      return true;
+    }
+    core.depart();
+    change(read -> read.record().without(self.incarnation()));
+    if (core.isMember()) {
+      return false;
+    }
+    core.events().log(FleetEvent.LEFT, self.incarnation());
+    return true;
+  }
+
+  private interface Change {
+    MembersRecord apply(Read read);
+  }
+
+  private void change(Change change) {
+    if (!core.isEpochSettled()) {
+      return;
+    }
+    Read read = read();
+    if (read != null && isCurrent(read)) {
+      write(read, change.apply(read));
+    }
+  }
+
+  /** Reads the record; null if the store does not answer or the record cannot be read. */
+  private @Nullable Read read() {
+    Result<StoredObject, StoreError> result = store.get(MembersRecord.NAME);
+    if (result instanceof Result.Ok<StoredObject, StoreError> ok) {
+      noteSettled(ok.value());
+      try {
+        return new Read(MembersRecord.read(ok.value().value()), ok.value().version());
+      } catch (JsonException e) {
+        core.events()
+            .log(
+                FleetEvent.OBJECT_INVALID,
+                MembersRecord.NAME,
+                ObjectSpread.STORE,
+                e.getMessage());
+        return null;
+      }
+    }
+    return result.error() instanceof StoreError.NotFound ? new Read(MembersRecord.NONE, 0) : null;
+  }
+
+  private void noteSettled(StoredObject object) {
+    if (object.writeId().equals(unsettledWrite)) {
+      core.events().log(FleetEvent.MEMBERS_SETTLED, object.version());
+    }
+    unsettledWrite = null;
+  }
+
+  /**
+   * Tells whether the store holds the epoch known here. A newer one is adopted and must settle before
+   * the next change. An older one is a stale read or a restored store; it is never adopted, and a
+   * fresh host whose epoch is settled writes the newer state again.
+   */
+  private boolean isCurrent(Read read) {
+    long known = core.record().epoch();
+    if (read.record().epoch() == known) {
+      return true;
+    }
+    if (read.record().epoch() > known) {
+      core.adopt(read.record());
+      return false;
+    }
+    core.events().log(FleetEvent.MEMBERS_RESTORED, read.record().epoch(), known + 1);
+    if (core.isFresh() && core.isEpochSettled()) {
+      write(read, core.record().renumbered());
+    }
+    return false;
+  }
+
+  private boolean write(Read read, MembersRecord next) {
+    String writeId = newIds.get();
+    Result<StoredObject, StoreError> result =
+        store.put(MembersRecord.NAME, next.write(), read.version(), writeId);
+    if (result.isOk()) {
+      core.adopt(next);
+      return true;
+    }
+    if (result.error() instanceof StoreError.Conflict) {
+      core.events().log(FleetEvent.MEMBERS_CONFLICT, next.epoch());
+    } else if (result.error() instanceof StoreError.Unsettled) {
+      unsettledWrite = writeId;
+      core.events().log(FleetEvent.MEMBERS_UNSETTLED, next.epoch());
+    }
+    return false;
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/verbenahatch/fleet/ObjectSpread.java
@@ -0,0 +1,145 @@
+package verbenahatch.fleet;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.concurrent.ConcurrentHashMap;
+import org.jspecify.annotations.Nullable;
+import verbenahatch.kernel.Events;
+import verbenahatch.kernel.Json;
+import verbenahatch.kernel.JsonException;
+
+/**
+ * Holds the newest known value of each object that hosts spread among each other.
+ *
+ * <p>Only a higher generation is adopted, from whatever source. Thread-safe.
+ */
+final class ObjectSpread {
+
+  /** An object with its generation. */
+  record Held(String name, long generation, byte[] value) {
+    @Override
+    public String toString() {
+      return name + "@" + generation;
+    }
+  }
+
+  /** Checks and applies a value before it counts as adopted. */
+  @FunctionalInterface
+  interface Adopter {
+    void adopt(byte[] value) throws JsonException;
+  }
+
+  /** Source named in events for values read from the store. */
+  static final String STORE = "the store";
+
+  private static final String RELEASE_PREFIX = "release/";
+
+  private final Events events;
+  private final Map<String, Adopter> adopters;
+  private final Map<String, Held> held = new ConcurrentHashMap<>();
+  private final Map<String, Long> reportedOlder = new ConcurrentHashMap<>();
+  private volatile long digest;
+
+  /**
+   * Creates an empty holder.
+   *
+   * @param adopters what to do with values by exact name; {@code release/*} are held as they are
+   */
+  ObjectSpread(Events events, Map<String, Adopter> adopters) {
+    this.events = events;
+    this.adopters = Map.copyOf(adopters);
+  }
+
+  /** Tells whether objects of this name are spread. */
+  boolean covers(String name) {
+    return adopters.containsKey(name) || name.startsWith(RELEASE_PREFIX);
+  }
+
+  /** Returns the prefixes that a watcher has to watch for these objects. */
+  List<String> prefixes() {
+    return List.of("environment/", "keys/", "drains/", RELEASE_PREFIX);
+  }
+
+  /**
+   * Adopts a value if its generation is higher than the one in force.
+   *
+   * @param name the name of the object
+   * @param value the value in JSON
+   * @param source where it came from, for events
+   * @return true if it was adopted
+   */
+  synchronized boolean offer(String name, byte[] value, String source) {
+    if (!covers(name)) {
+      return false;
+    }
+    long current = generation(name);
+    try {
+      long offered = readGeneration(value);
+      if (offered <= current) {
+        reportOlder(name, offered, current, source);
+        return false;
+      }
+      Adopter adopter = adopters.get(name);
+      if (adopter != null) {
+        adopter.adopt(value);
+      }
+      held.put(name, new Held(name, offered, value));
+      digest = computeDigest();
+      events.log(FleetEvent.OBJECT_ADOPTED, name, offered, source);
+      return true;
+    } catch (JsonException e) {
+      events.log(FleetEvent.OBJECT_INVALID, name, source, e.getMessage());
+      return false;
+    }
+  }
+
+  private void reportOlder(String name, long offered, long current, String source) {
+    if (offered == current) {
+      return;
+    }
+    // One report for each older generation; a watcher meets the same value again and again.
+    Long last = reportedOlder.put(name, offered);
+    if (last == null || last != offered) {
+      events.log(FleetEvent.OLDER_VALUE, name, offered, source, current);
+    }
+  }
+
+  private static long readGeneration(byte[] value) throws JsonException {
+    JsonNode node = Json.readTree(value).path("generation");
+    if (!node.canConvertToLong() || node.asLong() < 1) {
+      throw new JsonException("generation is missing or not positive", new IllegalStateException());
+    }
+    return node.asLong();
+  }
+
+  long generation(String name) {
+    Held object = held.get(name);
+    return object == null ? 0 : object.generation();
+  }
+
+  @Nullable Held get(String name) {
+    return held.get(name);
+  }
+
+  /** Returns a copy of all generations by name. */
+  Map<String, Long> generations() {
+    Map<String, Long> result = new TreeMap<>();
+    held.forEach((name, object) -> result.put(name, object.generation()));
+    return result;
+  }
+
+  /** Returns a number that two hosts share if they hold the same generations. */
+  long digest() {
+    return digest;
+  }
+
+  private long computeDigest() {
+    long sum = 0;
+    for (Held object : held.values()) {
+      sum += Rendezvous.mix(Rendezvous.mix(object.name().hashCode()) ^ object.generation());
+    }
+    return sum;
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/verbenahatch/fleet/PulseAnswerer.java
@@ -0,0 +1,200 @@
+package verbenahatch.fleet;
+
+import com.google.protobuf.ByteString;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import verbenahatch.kernel.JsonException;
+import verbenahatch.peer.MessageKind;
+import verbenahatch.peer.PeerHandler;
+import verbenahatch.peer.PeerLink;
+import verbenahatch.peer.generated.ContactScope;
+import verbenahatch.peer.generated.FactMessage;
+import verbenahatch.peer.generated.FetchObject;
+import verbenahatch.peer.generated.FetchObjectAnswer;
+import verbenahatch.peer.generated.ObjectGeneration;
+import verbenahatch.peer.generated.PulseAnswer;
+import verbenahatch.peer.generated.PulsePoll;
+import verbenahatch.peer.generated.PushFacts;
+import verbenahatch.peer.generated.PushFactsAnswer;
+
+/** Answers polls, pushes of facts and fetches of objects. */
+final class PulseAnswerer {
+
+  /** Facts in one answer; about 100 bytes each, so that a frame stays far below its limit. */
+  static final int FACTS_PER_ANSWER = 4_000;
+
+  private static final int MAX_LAG = 7;
+  private static final long NANOS_PER_MILLI = 1_000_000;
+
+  /** Contacts older than this are reported as none; they can make no host fresh. */
+  private static final long MAX_AGE_MILLIS = 60_000;
+
+  private final FleetCore core;
+  private final ObjectSpread objects;
+  private final BooleanSupplier storeDown;
+  private final Aggregation aggregation;
+
+  PulseAnswerer(
+      FleetCore core, ObjectSpread objects, BooleanSupplier storeDown, Aggregation aggregation) {
+    this.core = core;
+    this.objects = objects;
+    this.storeDown = storeDown;
+    this.aggregation = aggregation;
+  }
+
+  void register(PeerLink link) {
+    link.handle(MessageKind.PULSE, handler(body -> answer(PulsePoll.parseFrom(body)).toByteArray()));
+    link.handle(
+        MessageKind.PUSH_FACTS, handler(body -> push(PushFacts.parseFrom(body)).toByteArray()));
+    link.handle(
+        MessageKind.FETCH_OBJECT,
+        handler(body -> fetch(FetchObject.parseFrom(body)).toByteArray()));
+  }
+
+  private interface Step {
+    byte[] run(byte[] body) throws InvalidProtocolBufferException;
+  }
+
+  private static PeerHandler handler(Step step) {
+    return (sender, body) -> {
+      try {
+        return CompletableFuture.completedFuture(step.run(body));
+      } catch (InvalidProtocolBufferException e) {
+        return CompletableFuture.failedFuture(e);
+      }
+    };
+  }
+
+  PulseAnswer answer(PulsePoll poll) {
+    if (!poll.getMembers().isEmpty()) {
+      readMembers(poll.getMembers()).ifPresent(core::adopt);
+    }
+    if (poll.getAsAggregator()) {
+      aggregation.noteAsked(core.clock().nanoTime());
+    }
+    // Contacts are read before facts: facts implied by a reported contact are then in the answer.
+    synchronized (core) {
+      return build(poll);
+    }
+  }
+
+  private PulseAnswer build(PulsePoll poll) {
+    Member self = core.self();
+    MembersRecord record = core.record();
+    boolean known = poll.getLog().equals(self.incarnation());
+    long cursor = known ? poll.getCursor() : 0;
+    if (known && poll.getMembersEpoch() <= record.epoch()) {
+      core.noteHeld(poll.getIncarnation(), cursor);
+    }
+    List<Fact> facts = core.factsAfter(cursor, FACTS_PER_ANSWER);
+    PulseAnswer.Builder answer =
+        PulseAnswer.newBuilder()
+            .setIncarnation(self.incarnation())
+            .setMembersEpoch(record.epoch())
+            .setSettledEpoch(core.settledEpoch())
+            .setFromCursor(cursor)
+            .setMore(cursor + facts.size() < core.factCount())
+            .setObjectsDigest(objects.digest())
+            .setStoreDown(storeDown.getAsBoolean());
+    facts.forEach(fact -> answer.addFacts(FactCodec.encode(fact)));
+    if (poll.getMembersEpoch() < record.epoch()) {
+      answer.setMembers(ByteString.copyFrom(record.write()));
+    }
+    if (poll.getObjectsDigest() != objects.digest()) {
+      objects
+          .generations()
+          .forEach(
+              (name, generation) ->
+                  answer.addObjects(
+                      ObjectGeneration.newBuilder().setName(name).setGeneration(generation)));
+    }
+    addContacts(answer, record, self, poll.getScope());
+    return answer.build();
+  }
+
+  private void addContacts(
+      PulseAnswer.Builder answer, MembersRecord record, Member self, ContactScope scope) {
+    if (scope == ContactScope.CONTACT_SCOPE_NONE) {
+      return;
+    }
+    List<Integer> states = new ArrayList<>(record.members().size());
+    boolean anyState = false;
+    for (Member member : record.members()) {
+      boolean wanted =
+          scope == ContactScope.CONTACT_SCOPE_ALL || member.zone().equals(self.zone());
+      answer.addAges(wanted ? ageCode(member) : 0);
+      int state = wanted ? stateCode(member, record.epoch()) : 0;
+      states.add(state);
+      anyState |= state != 0;
+    }
+    if (anyState) {
+      answer.addAllStates(states);
+    }
+  }
+
+  private int ageCode(Member member) {
+    if (core.isReplaced(member.incarnation())) {
+      return 1;
+    }
+    long age = core.ageNanos(member.incarnation());
+    // Rounded up, so that a contact never looks younger than it is.
+    long millis = age / NANOS_PER_MILLI + 1;
+    return millis > MAX_AGE_MILLIS ? 0 : (int) millis + 2;
+  }
+
+  private int stateCode(Member member, long epoch) {
+    ContactTable.Contact contact = core.contactOf(member.incarnation());
+    int lag = (int) Math.min(MAX_LAG, Math.max(0, epoch - contact.epoch()));
+    int settledLag = (int) Math.min(MAX_LAG, Math.max(0, epoch - contact.settledEpoch()));
+    return (contact.storeDown() ? 1 : 0) | lag << 1 | settledLag << 4;
+  }
+
+  /** Reads the epoch that a state code tells; a lag of the largest number tells nothing. */
+  static long epochOf(long epoch, int lag) {
+    return lag >= MAX_LAG ? 0 : epoch - lag;
+  }
+
+  private PushFactsAnswer push(PushFacts push) {
+    core.addFacts(decode(push.getFactsList()));
+    MembersRecord record = core.record();
+    PushFactsAnswer.Builder answer =
+        PushFactsAnswer.newBuilder()
+            .setIncarnation(core.self().incarnation())
+            .setMembersEpoch(record.epoch());
+    if (push.getMembersEpoch() < record.epoch()) {
+      answer.setMembers(ByteString.copyFrom(record.write()));
+    }
+    return answer.build();
+  }
+
+  private FetchObjectAnswer fetch(FetchObject fetch) {
+    ObjectSpread.Held held = objects.get(fetch.getName());
+    if (held == null || held.generation() <= fetch.getAboveGeneration()) {
+      return FetchObjectAnswer.getDefaultInstance();
+    }
+    return FetchObjectAnswer.newBuilder()
+        .setGeneration(held.generation())
+        .setValue(ByteString.copyFrom(held.value()))
+        .build();
+  }
+
+  static List<Fact> decode(List<FactMessage> messages) {
+    List<Fact> facts = new ArrayList<>(messages.size());
+    for (FactMessage message : messages) {
+      FactCodec.decode(message).ifPresent(facts::add);
+    }
+    return facts;
+  }
+
+  static Optional<MembersRecord> readMembers(ByteString json) {
+    try {
+      return Optional.of(MembersRecord.read(json.toByteArray()));
+    } catch (JsonException e) {
+      return Optional.empty();
+    }
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/verbenahatch/fleet/Rendezvous.java
@@ -0,0 +1,44 @@
+package verbenahatch.fleet;
+
+import java.util.Collection;
+import java.util.Comparator;
+import java.util.List;
+import java.util.Optional;
+
+/**
+ * Assigns roles to members by rendezvous hashing: every host that sees the same candidates names
+ * the same member, and a member that leaves moves only its own roles.
+ */
+final class Rendezvous {
+
+  private Rendezvous() {}
+
+  static Optional<Member> first(String role, Collection<Member> candidates) {
+    return candidates.stream().min(order(role));
+  }
+
+  static List<Member> first(String role, Collection<Member> candidates, int count) {
+    return candidates.stream().sorted(order(role)).limit(count).toList();
+  }
+
+  private static Comparator<Member> order(String role) {
+    return Comparator.<Member>comparingLong(m -> weight(role, m.incarnation()))
+        .thenComparing(Member::incarnation);
+  }
+
+  private static long weight(String role, String incarnation) {
+    long hash = mix(role.hashCode());
+    for (int i = 0; i < incarnation.length(); i++) {
+      hash = mix(hash ^ incarnation.charAt(i));
+    }
+    return hash;
+  }
+
+  /** Spreads every input bit over the result, with the constants of SplitMix64. */
+  static long mix(long value) {
+    long mixed = value + 0x9E3779B97F4A7C15L;
+    mixed = (mixed ^ (mixed >>> 30)) * 0xBF58476D1CE4E5B9L;
+    mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
+    return mixed ^ (mixed >>> 31);
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/verbenahatch/fleet/StoreWatcher.java
@@ -0,0 +1,127 @@
+package verbenahatch.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.concurrent.ConcurrentHashMap;
+import verbenahatch.kernel.JsonException;
+import verbenahatch.kernel.Result;
+import verbenahatch.store.StoreError;
+import verbenahatch.store.StoredObject;
+import verbenahatch.store.WatchBatch;
+
+/**
+ * Brings changes of the store to this host while it is the watcher of its zone.
+ *
+ * <p>One watch per prefix: a single watch over all names would return at every claim that a request
+ * writes. Each prefix is watched by one thread at a time.
+ */
+final class StoreWatcher {
+
+  private static final String MEMBERS_PREFIX = "members/";
+
+  private final FleetCore core;
+  private final ObjectSpread objects;
+  private final StoreAccess store;
+  private final Map<String, Long> resume = new ConcurrentHashMap<>();
+  private final Map<String, Long> listedAt = new ConcurrentHashMap<>();
+
+  StoreWatcher(FleetCore core, ObjectSpread objects, StoreAccess store) {
+    this.core = core;
+    this.objects = objects;
+    this.store = store;
+  }
+
+  List<String> prefixes() {
+    List<String> prefixes = new ArrayList<>(objects.prefixes());
+    prefixes.add(MEMBERS_PREFIX);
+    return List.copyOf(prefixes);
+  }
+
+  /**
+   * Tells whether this host watches for its zone: the first member of the zone by rendezvous hashing
+   * that is in contact and reaches the store. If none reaches it, the first in contact tries.
+   */
+  boolean isWatcher() {
+    Member self = core.self();
+    if (!core.isMember()) {
+      return false;
+    }
+    List<Member> zone =
+        core.membersInContact().stream().filter(m -> m.zone().equals(self.zone())).toList();
+    List<Member> reaching =
+        zone.stream()
+            .filter(
+                m ->
+                    m.incarnation().equals(self.incarnation())
+                        ? !store.isDown()
+                        : !core.isStoreDownAt(m.incarnation()))
+            .toList();
+    Optional<Member> first =
+        Rendezvous.first("watcher/" + self.zone(), reaching.isEmpty() ? zone : reaching);
+    return first.isPresent() && first.get().incarnation().equals(self.incarnation());
+  }
+
+  /** Reads every prefix once, as a host does before it joins. Returns false if a read failed. */
+  boolean readAll() {
+    boolean complete = true;
+    for (String prefix : prefixes()) {
+      complete &= list(prefix);
+    }
+    return complete;
+  }
+
+  /**
+   * Watches one prefix once.
+   *
+   * @param prefix one of {@link #prefixes()}
+   * @param maxWait the longest time to block
+   * @return false if the store did not answer
+   */
+  boolean watch(String prefix, Duration maxWait) {
+    long now = core.clock().nanoTime();
+    Long listed = listedAt.get(prefix);
+    if (listed == null || now - listed >= Timing.RELIST_INTERVAL.toNanos()) {
+      return list(prefix);
+    }
+    Result<WatchBatch, StoreError> result =
+        store.watch(prefix, resume.getOrDefault(prefix, 0L), maxWait);
+    if (!(result instanceof Result.Ok<WatchBatch, StoreError> ok)) {
+      listedAt.remove(prefix);
+      return false;
+    }
+    ok.value().changed().forEach(this::offer);
+    resume.put(prefix, ok.value().resumeVersion());
+    return true;
+  }
+
+  private boolean list(String prefix) {
+    Result<List<StoredObject>, StoreError> result = store.list(prefix);
+    if (!(result instanceof Result.Ok<List<StoredObject>, StoreError> ok)) {
+      return false;
+    }
+    long newest = 0;
+    for (StoredObject object : ok.value()) {
+      offer(object);
+      newest = Math.max(newest, object.version());
+    }
+    resume.put(prefix, newest);
+    listedAt.put(prefix, core.clock().nanoTime());
+    return true;
+  }
+
+  private void offer(StoredObject object) {
+    if (!object.name().equals(MembersRecord.NAME)) {
+      objects.offer(object.name(), object.value(), ObjectSpread.STORE);
+      return;
+    }
+    try {
+      core.adopt(MembersRecord.read(object.value()));
+    } catch (JsonException e) {
+      core.events()
+          .log(FleetEvent.OBJECT_INVALID, object.name(), ObjectSpread.STORE, e.getMessage());
+    }
+  }
+}
