--- a/fleet/src/main/java/verbenahatch/fleet/Aggregation.java
+++ b/fleet/src/main/java/verbenahatch/fleet/Aggregation.java
@@ -95,9 +95,7 @@
       String zone, List<Member> members, Predicate<Member> usable) {
     List<Member> working = members.stream().filter(usable).toList();
     return Rendezvous.first(
-        "aggregator/" + zone,
-        working.isEmpty() ? members : working,
-        Timing.AGGREGATORS_PER_ZONE);
+        "aggregator/" + zone, working.isEmpty() ? members : working, Timing.AGGREGATORS_PER_ZONE);
   }
 
   private static boolean isOther(Member member, Member self) {
--- /dev/null
+++ b/fleet/src/main/java/verbenahatch/fleet/DurableWriter.java
@@ -0,0 +1,207 @@
+package verbenahatch.fleet;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.function.Supplier;
+import org.jspecify.annotations.Nullable;
+import verbenahatch.kernel.Json;
+import verbenahatch.kernel.JsonException;
+import verbenahatch.kernel.Result;
+import verbenahatch.model.KeyRecord;
+import verbenahatch.model.KeyRing;
+import verbenahatch.store.StoreError;
+import verbenahatch.store.StoredObject;
+
+/**
+ * Writes facts into the store, so that they outlive a restart of every host.
+ *
+ * <p>Withdrawn keys go into {@code keys/<env>}, halted releases into {@code status/halts}. Fences
+ * are part of the members record. One host in contact writes each fact; the write is repeated until
+ * the store shows it, so a lost answer needs no other treatment.
+ */
+final class DurableWriter {
+
+  private final FleetCore core;
+  private final ObjectSpread objects;
+  private final StoreAccess store;
+  private final KeyTable keys;
+  private final String environment;
+  private final Supplier<String> newIds;
+  private final Set<Fact> pending = ConcurrentHashMap.newKeySet();
+  private final Set<Fact> written = ConcurrentHashMap.newKeySet();
+  private long lastStep;
+  private boolean everStepped;
+
+  DurableWriter(
+      FleetCore core,
+      ObjectSpread objects,
+      StoreAccess store,
+      KeyTable keys,
+      String environment,
+      Supplier<String> newIds) {
+    this.core = core;
+    this.objects = objects;
+    this.store = store;
+    this.keys = keys;
+    this.environment = environment;
+    this.newIds = newIds;
+    core.onFact(this::note);
+  }
+
+  private void note(Fact fact) {
+    if (!(fact instanceof Fact.HostFenced)) {
+      pending.add(fact);
+    }
+  }
+
+  /** Tells whether a fact is in the store, as far as this host knows. */
+  boolean isDurable(Fact fact) {
+    if (fact instanceof Fact.HostFenced fenced) {
+      return core.record().removed().contains(fenced.incarnation());
+    }
+    if (fact instanceof Fact.KeyWithdrawn withdrawn
+        && withdrawn.environment().equals(environment)) {
+      return keys.isWithdrawnInRecord(withdrawn.keyHash());
+    }
+    return written.contains(fact);
+  }
+
+  int pending() {
+    return pending.size();
+  }
+
+  /** Makes one attempt for each object that lacks facts, at most once per second. */
+  void step() {
+    long now = core.clock().nanoTime();
+    pending.removeIf(this::isDurable);
+    if (everStepped && now - lastStep < Timing.DURABLE_INTERVAL.toNanos()) {
+      return;
+    }
+    everStepped = true;
+    lastStep = now;
+    Map<String, List<Fact.KeyWithdrawn>> byEnvironment = new HashMap<>();
+    List<Fact.ReleaseHalted> halts = new ArrayList<>();
+    for (Fact fact : pending) {
+      if (fact instanceof Fact.KeyWithdrawn withdrawn && isWriter("keys")) {
+        byEnvironment
+            .computeIfAbsent(withdrawn.environment(), e -> new ArrayList<>())
+            .add(withdrawn);
+      } else if (fact instanceof Fact.ReleaseHalted halted && isWriter("halts")) {
+        halts.add(halted);
+      }
+    }
+    byEnvironment.forEach(this::writeKeys);
+    if (!halts.isEmpty()) {
+      writeHalts(halts);
+    }
+  }
+
+  private boolean isWriter(String subject) {
+    List<Member> able =
+        core.membersInContact().stream().filter(m -> !core.isStoreDownAt(m.incarnation())).toList();
+    Optional<Member> first = Rendezvous.first("durable/" + subject, able);
+    return first.isPresent() && first.get().incarnation().equals(core.self().incarnation());
+  }
+
+  private void writeKeys(String env, List<Fact.KeyWithdrawn> facts) {
+    String name = "keys/" + env;
+    StoredObject stored = read(name);
+    if (stored == null) {
+      return;
+    }
+    try {
+      KeyRing ring =
+          stored.version() == 0 ? KeyRing.EMPTY : readNewest(name, stored, KeyRing.class);
+      Set<String> hashes = new HashSet<>();
+      facts.forEach(fact -> hashes.add(fact.keyHash()));
+      List<KeyRecord> marked = new ArrayList<>();
+      boolean changed = false;
+      for (KeyRecord key : ring.keys()) {
+        boolean mark = hashes.remove(key.sha256()) && key.withdrawnAtMillis() == null;
+        changed |= mark;
+        marked.add(mark ? withdraw(key) : key);
+      }
+      for (Fact.KeyWithdrawn fact : facts) {
+        if (hashes.contains(fact.keyHash()) && pending.remove(fact)) {
+          core.events().log(FleetEvent.FACT_NOT_DURABLE, fact, name + " does not list the key");
+        }
+      }
+      KeyRing next = changed ? new KeyRing(ring.generation() + 1, List.copyOf(marked)) : ring;
+      if (!changed || write(name, stored, Json.write(next))) {
+        facts.stream().filter(fact -> !hashes.contains(fact.keyHash())).forEach(this::done);
+      }
+    } catch (JsonException e) {
+      core.events().log(FleetEvent.OBJECT_INVALID, name, ObjectSpread.STORE, e.toString());
+    }
+  }
+
+  private KeyRecord withdraw(KeyRecord key) {
+    return new KeyRecord(
+        key.sha256(), key.workspace(), key.issuedAtMillis(), core.clock().wallMillis());
+  }
+
+  private void writeHalts(List<Fact.ReleaseHalted> facts) {
+    StoredObject stored = read(Halts.NAME);
+    if (stored == null) {
+      return;
+    }
+    try {
+      Halts halts =
+          stored.version() == 0 ? Halts.NONE : readNewest(Halts.NAME, stored, Halts.class);
+      List<Halts.Halt> all = new ArrayList<>(halts.halts());
+      for (Fact.ReleaseHalted fact : facts) {
+        Halts.Halt halt = new Halts.Halt(fact.release(), fact.reason());
+        if (!all.contains(halt)) {
+          all.add(halt);
+        }
+      }
+      boolean changed = all.size() > halts.halts().size();
+      Halts next = new Halts(halts.generation() + 1, List.copyOf(all));
+      if (!changed || write(Halts.NAME, stored, Json.write(next))) {
+        facts.forEach(this::done);
+      }
+    } catch (JsonException e) {
+      core.events().log(FleetEvent.OBJECT_INVALID, Halts.NAME, ObjectSpread.STORE, e.toString());
+    }
+  }
+
+  private void done(Fact fact) {
+    written.add(fact);
+    if (pending.remove(fact)) {
+      core.events().log(FleetEvent.FACT_DURABLE, fact);
+    }
+  }
+
+  /** Reads an object; one that does not exist has version 0; null if the store does not answer. */
+  private @Nullable StoredObject read(String name) {
+    Result<StoredObject, StoreError> result = store.get(name);
+    if (result instanceof Result.Ok<StoredObject, StoreError> ok) {
+      return ok.value();
+    }
+    return result.error() instanceof StoreError.NotFound
+        ? new StoredObject(name, new byte[0], 0, "")
+        : null;
+  }
+
+  /** Reads the stored value, or the one in force if the store went back to an older one. */
+  private <T> T readNewest(String name, StoredObject stored, Class<T> type) throws JsonException {
+    objects.offer(name, stored.value(), ObjectSpread.STORE);
+    ObjectSpread.Held held = objects.get(name);
+    return Json.read(held == null ? stored.value() : held.value(), type);
+  }
+
+  private boolean write(String name, StoredObject replaced, byte[] value) {
+    Result<StoredObject, StoreError> result =
+        store.put(name, value, replaced.version(), newIds.get());
+    if (result.isOk()) {
+      objects.offer(name, value, ObjectSpread.STORE);
+    }
+    return result.isOk();
+  }
+}
--- a/fleet/src/main/java/verbenahatch/fleet/FactCodec.java
+++ b/fleet/src/main/java/verbenahatch/fleet/FactCodec.java
@@ -15,9 +15,7 @@
     FactMessage.Builder message = FactMessage.newBuilder();
     if (fact instanceof Fact.KeyWithdrawn f) {
       message.setKeyWithdrawn(
-          KeyWithdrawnFact.newBuilder()
-              .setEnvironment(f.environment())
-              .setKeyHash(f.keyHash()));
+          KeyWithdrawnFact.newBuilder().setEnvironment(f.environment()).setKeyHash(f.keyHash()));
     } else if (fact instanceof Fact.HostFenced f) {
       message.setHostFenced(HostFencedFact.newBuilder().setIncarnation(f.incarnation()));
     } else if (fact instanceof Fact.ReleaseHalted f) {
--- a/fleet/src/main/java/verbenahatch/fleet/FactSpreader.java
+++ b/fleet/src/main/java/verbenahatch/fleet/FactSpreader.java
@@ -73,10 +73,13 @@
   /** Pushes again what was not acknowledged, and completes what is accepted or too late. */
   void tick() {
     tracked.forEach(this::advance);
-    tracked.values().removeIf(FactSpreader::isFinished);
+    tracked.entrySet().removeIf(entry -> isFinished(entry.getKey(), entry.getValue()));
   }
 
-  private static boolean isFinished(Tracked state) {
+  private boolean isFinished(Fact fact, Tracked state) {
+    if (fact instanceof Fact.HostFenced fenced && core.record().contains(fenced.incarnation())) {
+      return false;
+    }
     synchronized (state) {
       return state.inForce && state.waiting.isEmpty();
     }
@@ -118,8 +121,7 @@
         .thenAccept(result -> onPushed(fact, state, member, result));
   }
 
-  private void onPushed(
-      Fact fact, Tracked state, Member member, Result<byte[], PeerError> result) {
+  private void onPushed(Fact fact, Tracked state, Member member, Result<byte[], PeerError> result) {
     if (!(result instanceof Result.Ok<byte[], PeerError> ok)) {
       return;
     }
@@ -211,8 +213,7 @@
   public FactStatus status(Fact fact) {
     Tracked state = tracked.get(fact);
     MembersRecord record = core.record();
-    int acknowledged =
-        (int) record.members().stream().filter(m -> holds(fact, state, m)).count();
+    int acknowledged = (int) record.members().stream().filter(m -> holds(fact, state, m)).count();
     boolean isDurable = durable.test(fact);
     boolean accepted = isDurable || acknowledged >= record.majority();
     boolean inForce = isDurable && acknowledged == record.members().size();
--- a/fleet/src/main/java/verbenahatch/fleet/Facts.java
+++ b/fleet/src/main/java/verbenahatch/fleet/Facts.java
@@ -32,6 +32,16 @@
    */
   void onFact(Consumer<Fact> listener);
 
+  /**
+   * Tells how far a fact has come: accepted, durable, in force.
+   *
+   * @param fact the fact
+   * @return what this host knows about it
+   */
+  default FactStatus status(Fact fact) {
+    return new FactStatus(contains(fact), false, false, false, 0, 0);
+  }
+
   /**
    * Tells how far a fact has spread.
    *
--- a/fleet/src/main/java/verbenahatch/fleet/Fleet.java
+++ b/fleet/src/main/java/verbenahatch/fleet/Fleet.java
@@ -66,4 +66,10 @@
    * @param listener called with the new members; must not block
    */
   void onChange(Consumer<List<Member>> listener);
+
+  /**
+   * Marks this host as leaving, as the first step of a graceful stop. It goes on serving; it leaves
+   * the members when the fleet module closes.
+   */
+  default void markLeaving() {}
 }
--- a/fleet/src/main/java/verbenahatch/fleet/FleetCore.java
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetCore.java
@@ -17,8 +17,8 @@
  * Holds members, contacts and facts, and derives freshness from them.
  *
  * <p>Thread-safe: changes run under one lock; the request path reads volatile snapshots. Listeners
- * run after the lock is released, but {@code factHook} runs inside it, so that a fact has its effect
- * on keys before a contact that proves its arrival can make the host fresh.
+ * run after the lock is released, but {@code factHook} runs inside it, so that a fact has its
+ * effect on keys before a contact that proves its arrival can make the host fresh.
  */
 final class FleetCore {
 
@@ -321,8 +321,7 @@
   private void update() {
     long now = clock.nanoTime();
     boolean fenced = isFenced(self.incarnation());
-    freshness =
-        fenced ? Freshness.NEVER : Freshness.of(record, self.incarnation(), contacts, now);
+    freshness = fenced ? Freshness.NEVER : Freshness.of(record, self.incarnation(), contacts, now);
     boolean fresh = freshness.isFresh(now) && !departed;
     if (fresh != wasFresh) {
       wasFresh = fresh;
--- a/fleet/src/main/java/verbenahatch/fleet/Freshness.java
+++ b/fleet/src/main/java/verbenahatch/fleet/Freshness.java
@@ -51,8 +51,7 @@
     if (ages.length < needed) {
       return NEVER;
     }
-    return new Freshness(
-        Kind.UNTIL, now - ages[needed - 1] + Timing.FRESHNESS_BOUND.toNanos());
+    return new Freshness(Kind.UNTIL, now - ages[needed - 1] + Timing.FRESHNESS_BOUND.toNanos());
   }
 
   long nanosLeft(long now) {
--- a/fleet/src/main/java/verbenahatch/fleet/KeyTable.java
+++ b/fleet/src/main/java/verbenahatch/fleet/KeyTable.java
@@ -17,8 +17,8 @@
 /**
  * Maps hashes of keys to workspaces.
  *
- * <p>The table is replaced as a whole by read-copy-update. Withdrawals known as facts are kept apart
- * and are never lost when a record is adopted.
+ * <p>The table is replaced as a whole by read-copy-update. Withdrawals known as facts are kept
+ * apart and are never lost when a record is adopted.
  */
 final class KeyTable implements Keys {
 
@@ -92,9 +92,7 @@
     if (!freshBefore) {
       return new KeyCheck.NotFresh();
     }
-    return entry == null
-        ? new KeyCheck.Unknown()
-        : new KeyCheck.Valid(entry.workspace(), keyHash);
+    return entry == null ? new KeyCheck.Unknown() : new KeyCheck.Valid(entry.workspace(), keyHash);
   }
 
   private @Nullable Entry find(String keyHash) {
--- a/fleet/src/main/java/verbenahatch/fleet/Membership.java
+++ b/fleet/src/main/java/verbenahatch/fleet/Membership.java
@@ -13,15 +13,16 @@
 /**
  * Adds and removes members, one per epoch, by conditional writes of {@code members/fleet}.
  *
- * <p>Each call of {@link #step()} makes at most one change and never waits for peers. It runs on one
- * thread. A write whose answer is lost needs no memory of its own: the next step reads the record
- * back and goes on from what it finds.
+ * <p>Each call of {@link #step()} makes at most one change and never waits for peers. It runs on
+ * one thread. A write whose answer is lost needs no memory of its own: the next step reads the
+ * record back and goes on from what it finds.
  */
 final class Membership {
 
   /**
-   * Time for which this host must have been fresh before it fences another. A host that wakes from a
-   * pause has old contacts with everybody until the first answers have brought those of the others.
+   * Time for which this host must have been fresh before it fences another. A host that wakes from
+   * a pause has old contacts with everybody until the first answers have brought those of the
+   * others.
    */
   private static final Duration STEADY = Timing.PULSE_INTERVAL.multipliedBy(2);
 
@@ -35,6 +36,7 @@
   private final Supplier<String> newIds;
   private boolean readAll;
   private long lastRead;
+  private int conflicts;
   private boolean everRead;
   private boolean joinedLogged;
   private @Nullable String unsettledWrite;
@@ -123,8 +125,7 @@
       if (!facts.isPublished(fence)) {
         String why = core.isReplaced(suspect.incarnation()) ? "replaced" : "out of contact";
         core.events()
-            .log(
-                FleetEvent.FENCING, suspect.host(), suspect.incarnation(), suspect.zone(), why);
+            .log(FleetEvent.FENCING, suspect.host(), suspect.incarnation(), suspect.zone(), why);
         facts.publish(fence, Timing.CALL_TIMEOUT);
       }
     }
@@ -148,7 +149,7 @@
 
   private void joinStep(Member self) {
     long now = core.clock().nanoTime();
-    if (everRead && now - lastRead < Timing.JOIN_INTERVAL.toNanos()) {
+    if (everRead && now - lastRead < joinDelayNanos(self)) {
       return;
     }
     lastRead = now;
@@ -175,6 +176,16 @@
     }
   }
 
+  /**
+   * Returns the time between two attempts to join. It grows with conflicts up to 32 intervals, and
+   * differs between hosts, so that many hosts that start at once do not overload the store.
+   */
+  private long joinDelayNanos(Member self) {
+    long range = 1L << Math.min(5, conflicts);
+    long share = Math.floorMod(Rendezvous.mix(self.incarnation().hashCode() + conflicts), range);
+    return Timing.JOIN_INTERVAL.toNanos() * (1 + share);
+  }
+
   /** Removes this host; the caller repeats it until it returns true. */
   boolean leaveStep() {
     Member self = core.self();
@@ -213,11 +224,7 @@
         return new Read(MembersRecord.read(ok.value().value()), ok.value().version());
       } catch (JsonException e) {
         core.events()
-            .log(
-                FleetEvent.OBJECT_INVALID,
-                MembersRecord.NAME,
-                ObjectSpread.STORE,
-                e.getMessage());
+            .log(FleetEvent.OBJECT_INVALID, MembersRecord.NAME, ObjectSpread.STORE, e.toString());
         return null;
       }
     }
@@ -232,9 +239,9 @@
   }
 
   /**
-   * Tells whether the store holds the epoch known here. A newer one is adopted and must settle before
-   * the next change. An older one is a stale read or a restored store; it is never adopted, and a
-   * fresh host whose epoch is settled writes the newer state again.
+   * Tells whether the store holds the epoch known here. A newer one is adopted and must settle
+   * before the next change. An older one is a stale read or a restored store; it is never adopted,
+   * and a fresh host whose epoch is settled writes the newer state again.
    */
   private boolean isCurrent(Read read) {
     long known = core.record().epoch();
@@ -257,10 +264,12 @@
     Result<StoredObject, StoreError> result =
         store.put(MembersRecord.NAME, next.write(), read.version(), writeId);
     if (result.isOk()) {
+      conflicts = 0;
       core.adopt(next);
       return true;
     }
     if (result.error() instanceof StoreError.Conflict) {
+      conflicts++;
       core.events().log(FleetEvent.MEMBERS_CONFLICT, next.epoch());
     } else if (result.error() instanceof StoreError.Unsettled) {
       unsettledWrite = writeId;
--- a/fleet/src/main/java/verbenahatch/fleet/ObjectSpread.java
+++ b/fleet/src/main/java/verbenahatch/fleet/ObjectSpread.java
@@ -59,7 +59,7 @@
 
   /** Returns the prefixes that a watcher has to watch for these objects. */
   List<String> prefixes() {
-    return List.of("environment/", "keys/", "drains/", RELEASE_PREFIX);
+    return List.of("environment/", "keys/", "drains/", Halts.NAME, RELEASE_PREFIX);
   }
 
   /**
@@ -90,7 +90,7 @@
       events.log(FleetEvent.OBJECT_ADOPTED, name, offered, source);
       return true;
     } catch (JsonException e) {
-      events.log(FleetEvent.OBJECT_INVALID, name, source, e.getMessage());
+      events.log(FleetEvent.OBJECT_INVALID, name, source, e.toString());
       return false;
     }
   }
--- a/fleet/src/main/java/verbenahatch/fleet/PulseAnswerer.java
+++ b/fleet/src/main/java/verbenahatch/fleet/PulseAnswerer.java
@@ -47,7 +47,8 @@
   }
 
   void register(PeerLink link) {
-    link.handle(MessageKind.PULSE, handler(body -> answer(PulsePoll.parseFrom(body)).toByteArray()));
+    link.handle(
+        MessageKind.PULSE, handler(body -> answer(PulsePoll.parseFrom(body)).toByteArray()));
     link.handle(
         MessageKind.PUSH_FACTS, handler(body -> push(PushFacts.parseFrom(body)).toByteArray()));
     link.handle(
@@ -124,8 +125,7 @@
     List<Integer> states = new ArrayList<>(record.members().size());
     boolean anyState = false;
     for (Member member : record.members()) {
-      boolean wanted =
-          scope == ContactScope.CONTACT_SCOPE_ALL || member.zone().equals(self.zone());
+      boolean wanted = scope == ContactScope.CONTACT_SCOPE_ALL || member.zone().equals(self.zone());
       answer.addAges(wanted ? ageCode(member) : 0);
       int state = wanted ? stateCode(member, record.epoch()) : 0;
       states.add(state);
--- a/fleet/src/main/java/verbenahatch/fleet/PulsePoller.java
+++ b/fleet/src/main/java/verbenahatch/fleet/PulsePoller.java
@@ -122,8 +122,7 @@
         poll.setMembers(ByteString.copyFrom(record.write()));
       }
     }
-    link.call(
-            member.peer(), MessageKind.PULSE, poll.build().toByteArray(), Timing.CALL_TIMEOUT)
+    link.call(member.peer(), MessageKind.PULSE, poll.build().toByteArray(), Timing.CALL_TIMEOUT)
         .thenAccept(result -> onResult(target, peer, sentAt, result));
   }
 
@@ -237,12 +236,8 @@
       }
     }
     FetchObject fetch =
-        FetchObject.newBuilder()
-            .setName(name)
-            .setAboveGeneration(objects.generation(name))
-            .build();
-    link.call(
-            member.peer(), MessageKind.FETCH_OBJECT, fetch.toByteArray(), Timing.CALL_TIMEOUT)
+        FetchObject.newBuilder().setName(name).setAboveGeneration(objects.generation(name)).build();
+    link.call(member.peer(), MessageKind.FETCH_OBJECT, fetch.toByteArray(), Timing.CALL_TIMEOUT)
         .thenAccept(
             result -> {
               synchronized (peer) {
--- a/fleet/src/main/java/verbenahatch/fleet/StoreWatcher.java
+++ b/fleet/src/main/java/verbenahatch/fleet/StoreWatcher.java
@@ -41,8 +41,9 @@
   }
 
   /**
-   * Tells whether this host watches for its zone: the first member of the zone by rendezvous hashing
-   * that is in contact and reaches the store. If none reaches it, the first in contact tries.
+   * Tells whether this host watches for its zone: the first member of the zone by rendezvous
+   * hashing that is in contact and reaches the store. If none reaches it, the first in contact
+   * tries.
    */
   boolean isWatcher() {
     Member self = core.self();
@@ -120,8 +121,7 @@
     try {
       core.adopt(MembersRecord.read(object.value()));
     } catch (JsonException e) {
-      core.events()
-          .log(FleetEvent.OBJECT_INVALID, object.name(), ObjectSpread.STORE, e.getMessage());
+      core.events().log(FleetEvent.OBJECT_INVALID, object.name(), ObjectSpread.STORE, e.toString());
     }
   }
 }
