--- /dev/null
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetNode.java
@@ -0,0 +1,291 @@
+package verbenahatch.fleet;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import verbenahatch.kernel.Clock;
+import verbenahatch.kernel.Events;
+import verbenahatch.kernel.Json;
+import verbenahatch.model.KeyRing;
+import verbenahatch.peer.PeerLink;
+import verbenahatch.store.ObjectStore;
+
+/**
+ * Runs the part of one host in the fleet.
+ *
+ * <p>It has no thread of its own. {@link #tick()} never blocks; {@link #storeStep()} and {@link
+ * #watchStep(String, Duration)} block in store calls. Tests drive the same methods under manual
+ * time.
+ */
+public final class FleetNode implements Fleet {
+
+  private final FleetCore core;
+  private final ObjectSpread objects;
+  private final StoreAccess store;
+  private final KeyTable keys;
+  private final ConfigHolder config;
+  private final PulsePoller poller;
+  private final FactSpreader facts;
+  private final StoreWatcher watcher;
+  private final DurableWriter durable;
+  private final Membership membership;
+  private final FleetReadiness readiness;
+  private final PeerLink link;
+
+  /**
+   * Creates a node that is no member yet and answers peers at once.
+   *
+   * @param self this host, with the incarnation of the link
+   * @param environment the environment that the host serves
+   * @param clock the clock
+   * @param events the log
+   * @param link the link to the peers
+   * @param store the platform's object API
+   * @param newIds makes unique ids for incarnations and writes
+   */
+  public FleetNode(
+      Member self,
+      String environment,
+      Clock clock,
+      Events events,
+      PeerLink link,
+      ObjectStore store,
+      Supplier<String> newIds) {
+    this.link = link;
+    this.config = new ConfigHolder(environment);
+    this.keys = new KeyTable(environment, this::isFresh);
+    this.core = new FleetCore(self, clock, events, keys::apply);
+    this.objects = new ObjectSpread(events, adopters(environment));
+    this.store = new StoreAccess(store, events);
+    this.watcher = new StoreWatcher(core, objects, this.store);
+    this.durable = new DurableWriter(core, objects, this.store, keys, environment, newIds);
+    this.facts = new FactSpreader(core, link, durable::isDurable);
+    this.membership = new Membership(core, this.store, facts, watcher, newIds);
+    Aggregation aggregation = new Aggregation();
+    this.poller = new PulsePoller(core, objects, link, aggregation);
+    this.readiness = new FleetReadiness(core, objects, config, poller);
+    new PulseAnswerer(core, objects, this.store::isDown, aggregation).register(link);
+  }
+
+  private Map<String, ObjectSpread.Adopter> adopters(String environment) {
+    return Map.of(
+        "environment/" + environment,
+        config::adoptDocument,
+        "keys/" + environment,
+        value -> keys.load(Json.read(value, KeyRing.class)),
+        "drains/fleet",
+        config::adoptDrains,
+        Halts.NAME,
+        value -> addHalts(Json.read(value, Halts.class)));
+  }
+
+  private void addHalts(Halts halts) {
+    List<Fact> halted = new ArrayList<>();
+    for (Halts.Halt halt : halts.halts()) {
+      halted.add(new Fact.ReleaseHalted(halt.release(), halt.reason()));
+    }
+    core.addFacts(halted);
+  }
+
+  /** Sends what is due to peers and recomputes freshness; call it every 50 ms. */
+  public void tick() {
+    core.refresh();
+    poller.tick();
+    facts.tick();
+  }
+
+  /** Joins, removes members and makes facts durable; call it every 100 ms on one thread. */
+  public void storeStep() {
+    String before = core.self().incarnation();
+    membership.step();
+    String after = core.self().incarnation();
+    if (!after.equals(before)) {
+      link.setIncarnation(after);
+    }
+    durable.step();
+  }
+
+  /**
+   * Returns the prefixes to watch, each on its own thread.
+   *
+   * @return an immutable list
+   */
+  public List<String> watchPrefixes() {
+    return watcher.prefixes();
+  }
+
+  /**
+   * Tells whether this host watches the store for its availability zone.
+   *
+   * @return true if {@link #watchStep(String, Duration)} should be called
+   */
+  public boolean isWatcher() {
+    return watcher.isWatcher();
+  }
+
+  /**
+   * Watches one prefix once.
+   *
+   * @param prefix one of {@link #watchPrefixes()}
+   * @param maxWait the longest time to block
+   * @return false if the store did not answer
+   */
+  public boolean watchStep(String prefix, Duration maxWait) {
+    return watcher.watch(prefix, maxWait);
+  }
+
+  /**
+   * Tries once to remove this host from the members; from the first call on it uses no key.
+   *
+   * @return true once it is no member
+   */
+  public boolean leaveStep() {
+    return membership.leaveStep();
+  }
+
+  @Override
+  public void markLeaving() {
+    core.markLeaving();
+  }
+
+  /**
+   * Returns the facts.
+   *
+   * @return the set of this host
+   */
+  public Facts facts() {
+    return facts;
+  }
+
+  /**
+   * Returns the configuration.
+   *
+   * @return the view of this host
+   */
+  public ConfigView config() {
+    return config;
+  }
+
+  /**
+   * Returns the keys.
+   *
+   * @return the table of this host
+   */
+  public Keys keys() {
+    return keys;
+  }
+
+  /**
+   * Returns the readiness.
+   *
+   * @return the view of this host
+   */
+  public Readiness readiness() {
+    return readiness;
+  }
+
+  /**
+   * Returns the generations in force by name of object.
+   *
+   * @return a copy
+   */
+  public Map<String, Long> generations() {
+    return objects.generations();
+  }
+
+  /**
+   * Returns how many calls this module made to the store.
+   *
+   * @return the number since the start
+   */
+  public long storeCalls() {
+    return store.calls();
+  }
+
+  /**
+   * Tells whether the last store call of this host failed.
+   *
+   * @return true if the store does not answer
+   */
+  public boolean isStoreDown() {
+    return store.isDown();
+  }
+
+  /**
+   * Returns how many facts this host knows.
+   *
+   * @return the number
+   */
+  public int factCount() {
+    return core.factCount();
+  }
+
+  /**
+   * Returns how many facts known here are not known to be in the store.
+   *
+   * @return the number
+   */
+  public int factsNotDurable() {
+    return durable.pending();
+  }
+
+  /**
+   * Returns the age of the contact with each other member.
+   *
+   * @return seconds by host name; infinite if there was no contact
+   */
+  public Map<String, Double> contactAges() {
+    Map<String, Double> ages = new LinkedHashMap<>();
+    for (Member member : members()) {
+      if (!member.incarnation().equals(self().incarnation())) {
+        long nanos = core.ageNanos(member.incarnation());
+        ages.put(member.host(), nanos == Long.MAX_VALUE ? Double.POSITIVE_INFINITY : nanos / 1e9);
+      }
+    }
+    return ages;
+  }
+
+  @Override
+  public Member self() {
+    return core.self();
+  }
+
+  @Override
+  public List<Member> members() {
+    return core.record().members();
+  }
+
+  @Override
+  public long membersEpoch() {
+    return core.record().epoch();
+  }
+
+  @Override
+  public boolean isFresh() {
+    return core.isFresh();
+  }
+
+  @Override
+  public long freshNanosLeft() {
+    return core.freshNanosLeft();
+  }
+
+  @Override
+  public boolean isInContact(String incarnation) {
+    return core.isInContact(incarnation);
+  }
+
+  @Override
+  public boolean isLapsed(String incarnation) {
+    return core.isLapsed(incarnation);
+  }
+
+  @Override
+  public void onChange(Consumer<List<Member>> listener) {
+    core.onChange(listener);
+  }
+}
--- /dev/null
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetViews.java
@@ -0,0 +1,95 @@
+package verbenahatch.fleet;
+
+import io.prometheus.metrics.core.metrics.GaugeWithCallback;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.List;
+import java.util.Map;
+import java.util.function.DoubleSupplier;
+import verbenahatch.kernel.Kernel;
+
+/** Registers the state views and metrics of a node. */
+final class FleetViews {
+
+  /** The view of membership. */
+  record MembersView(
+      Member self,
+      long epoch,
+      boolean fresh,
+      long freshMillisLeft,
+      String notReady,
+      boolean watcher,
+      boolean storeDown,
+      Map<String, Double> contactAgeSeconds,
+      List<Member> members) {}
+
+  /** The view of what is spread. */
+  record SpreadView(Map<String, Long> generations, int facts, int factsNotDurable) {}
+
+  private FleetViews() {}
+
+  static void register(Kernel kernel, FleetNode node) {
+    kernel.state().register("members", () -> members(node));
+    kernel
+        .state()
+        .register(
+            "spread",
+            () -> new SpreadView(node.generations(), node.factCount(), node.factsNotDurable()));
+    PrometheusRegistry metrics = kernel.metrics();
+    gauge(metrics, "fresh", "1 while this host may use keys.", () -> node.isFresh() ? 1 : 0);
+    gauge(metrics, "ready", "1 while this host is ready.", () -> ready(node));
+    gauge(metrics, "members", "Members of the newest epoch.", () -> node.members().size());
+    gauge(metrics, "members_epoch", "Newest known epoch of the members.", node::membersEpoch);
+    gauge(metrics, "facts", "Facts known to this host.", node::factCount);
+    gauge(metrics, "facts_not_durable", "Facts not in the store.", node::factsNotDurable);
+    gauge(metrics, "store_calls", "Store calls since the start.", node::storeCalls);
+    labelled(
+        metrics,
+        "contact_age_seconds",
+        "Age of the contact with a member.",
+        "host",
+        node::contactAges);
+    labelled(metrics, "object_generation", "Generation in force.", "object", node::generations);
+  }
+
+  private static int ready(FleetNode node) {
+    return node.readiness().isReady() ? 1 : 0;
+  }
+
+  private static MembersView members(FleetNode node) {
+    return new MembersView(
+        node.self(),
+        node.membersEpoch(),
+        node.isFresh(),
+        node.freshNanosLeft() / 1_000_000,
+        node.readiness().reason(),
+        node.isWatcher(),
+        node.isStoreDown(),
+        node.contactAges(),
+        node.members());
+  }
+
+  private static void gauge(
+      PrometheusRegistry metrics, String name, String help, DoubleSupplier value) {
+    GaugeWithCallback.builder()
+        .name("verbenahatch_fleet_" + name)
+        .help(help)
+        .callback(callback -> callback.call(value.getAsDouble()))
+        .register(metrics);
+  }
+
+  private interface Values {
+    Map<String, ? extends Number> get();
+  }
+
+  private static void labelled(
+      PrometheusRegistry metrics, String name, String help, String label, Values values) {
+    GaugeWithCallback.builder()
+        .name("verbenahatch_fleet_" + name)
+        .help(help)
+        .labelNames(label)
+        .callback(
+            callback ->
+                values.get().forEach((key, value) -> callback.call(value.doubleValue(), key)))
+        .register(metrics);
+  }
+}
