--- a/gateway/src/main/java/verbenahatch/gateway/EntryAdvice.java
+++ b/gateway/src/main/java/verbenahatch/gateway/EntryAdvice.java
@@ -62,7 +62,7 @@
       Refusals.write(response, callback, Refusal.METHOD_NOT_ALLOWED, 0);
       return;
     }
-    byte[] body = Json.write(advise(Request.getRemoteAddr(request)));
+    final byte[] body = Json.write(advise(Request.getRemoteAddr(request)));
     response.setStatus(200);
     response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
     response
--- a/gateway/src/main/java/verbenahatch/gateway/KeyStripper.java
+++ b/gateway/src/main/java/verbenahatch/gateway/KeyStripper.java
@@ -108,21 +108,6 @@
     return false;
   }
 
-  private static boolean isSearchable(@Nullable String key) {
-    return key != null && !key.isEmpty();
-  }
-
-  private static String decode(String text) {
-    if (text.indexOf('%') < 0) {
-      return text;
-    }
-    try {
-      return URLDecoder.decode(text.replace("+", "%2B"), StandardCharsets.ISO_8859_1);
-    } catch (IllegalArgumentException e) {
-      return text;
-    }
-  }
-
   /**
    * Tells whether a header or trailer field carries a key.
    *
@@ -148,6 +133,21 @@
     }
   }
 
+  private static boolean isSearchable(@Nullable String key) {
+    return key != null && !key.isEmpty();
+  }
+
+  private static String decode(String text) {
+    if (text.indexOf('%') < 0) {
+      return text;
+    }
+    try {
+      return URLDecoder.decode(text.replace("+", "%2B"), StandardCharsets.ISO_8859_1);
+    } catch (IllegalArgumentException e) {
+      return text;
+    }
+  }
+
   /**
    * Removes the parameters that carry a key from a query.
    *
--- a/gateway/src/test/java/verbenahatch/gateway/GatewayServerTest.java
+++ b/gateway/src/test/java/verbenahatch/gateway/GatewayServerTest.java
@@ -231,7 +231,7 @@
   }
 
   @Test
-  void entryAdviceDropsALeavingHostThatStillServes() throws Exception {
+  void entryAdviceDropsLeavingHostThatStillServes() throws Exception {
     gateway.target(ScriptedTarget.answering("x"), "dakar");
     assertTrue(gateway.send(gateway.request("/v1/entry")).body().contains("entry-1"));
     gateway.server.beginDrain();
