--- /dev/null
+++ b/standins/src/main/java/verbenahatch/standins/quickstart/package-info.java
@@ -0,0 +1,5 @@
+/** The caller of the quick start. */
+@NullMarked
+package verbenahatch.standins.quickstart;
+
+import org.jspecify.annotations.NullMarked;
