Count contacts over a change of epoch only when they bring all earlier facts

Cause: a contact that began before two removals could become a majority of the smaller epoch although it lacked a fact accepted two epochs before. Change: a contact counts if it began after the adoption of the epoch or if the member had settled the epoch before; freshness held before the change stays valid. FreshnessTest covers it and failed while a contact at the instant of adoption still counted.

--- a/fleet/src/main/java/verbenahatch/fleet/FleetCore.java
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetCore.java
@@ -40,6 +40,7 @@
   private long adoptedAt;
   private long settledEpoch;
   private long freshSince;
+  private Freshness carried = Freshness.NEVER;
   private boolean wasFresh;
   private Set<String> contactsSeen = Set.of();
   private Set<String> lapsedSeen = Set.of();
@@ -199,6 +200,7 @@
       MembersRecord old = record;
       record = newer;
       adoptedAt = clock.nanoTime();
+      carried = freshness.carried(adoptedAt);
       noteMembers(old, newer);
       update();
     }
@@ -320,8 +322,13 @@
 
   private void update() {
     long now = clock.nanoTime();
-    boolean fenced = isFenced(self.incarnation());
-    freshness = fenced ? Freshness.NEVER : Freshness.of(record, self.incarnation(), contacts, now);
+    if (isFenced(self.incarnation()) || !record.contains(self.incarnation())) {
+      carried = Freshness.NEVER;
+      freshness = Freshness.NEVER;
+    } else {
+      freshness =
+          Freshness.of(record, self.incarnation(), contacts, adoptedAt, now).later(carried, now);
+    }
     boolean fresh = freshness.isFresh(now) && !departed;
     if (fresh != wasFresh) {
       wasFresh = fresh;
@@ -338,7 +345,7 @@
       return true;
     }
     ContactTable.Contact last = contacts.last(member.incarnation());
-    return last != null && last.epoch() >= record.epoch() && last.startNanos() - adoptedAt >= 0;
+    return last != null && last.epoch() >= record.epoch() && last.startNanos() - adoptedAt > 0;
   }
 
   /**
--- a/fleet/src/main/java/verbenahatch/fleet/Freshness.java
+++ b/fleet/src/main/java/verbenahatch/fleet/Freshness.java
@@ -5,7 +5,10 @@
  *
  * <p>Two majorities of one epoch, or of adjacent epochs, have a member in common. A host whose
  * contacts with a majority are at most {@link Timing#FRESHNESS_BOUND} old therefore knows every
- * fact that a majority acknowledged before that.
+ * fact that a majority acknowledged before that. For facts of epochs further back, a contact counts
+ * only if it began after this host adopted its epoch, or if the member had settled the epoch
+ * before: a majority of each epoch settles it, and then holds all earlier facts, before the next is
+ * written.
  *
  * @param kind whether time matters
  * @param untilNanos the end on the monotonic clock, for {@link Kind#UNTIL}
@@ -31,10 +34,12 @@
    * @param record the members of the newest known epoch
    * @param self the incarnation of this host
    * @param contacts the contacts of this host
+   * @param adoptedAt when this host adopted the epoch
    * @param now the present reading of the clock, from which readings are compared
    * @return the time at which the contact of a majority is older than the bound
    */
-  static Freshness of(MembersRecord record, String self, ContactTable contacts, long now) {
+  static Freshness of(
+      MembersRecord record, String self, ContactTable contacts, long adoptedAt, long now) {
     if (!record.contains(self)) {
       return NEVER;
     }
@@ -45,7 +50,9 @@
     long[] ages =
         record.members().stream()
             .filter(m -> !m.incarnation().equals(self))
-            .flatMapToLong(m -> contacts.ageNanos(m.incarnation(), now).stream())
+            .map(m -> contacts.last(m.incarnation()))
+            .filter(c -> c != null && counts(c, record.epoch(), adoptedAt))
+            .mapToLong(c -> now - c.startNanos())
             .sorted()
             .toArray();
     if (ages.length < needed) {
@@ -54,6 +61,20 @@
     return new Freshness(Kind.UNTIL, now - ages[needed - 1] + Timing.FRESHNESS_BOUND.toNanos());
   }
 
+  private static boolean counts(ContactTable.Contact contact, long epoch, long adoptedAt) {
+    return contact.startNanos() - adoptedAt > 0 || contact.settledEpoch() >= epoch - 1;
+  }
+
+  /** Returns the end of freshness as a time, so that it stays valid over a change of epoch. */
+  Freshness carried(long now) {
+    return kind == Kind.ALWAYS ? new Freshness(Kind.UNTIL, now + nanosLeft(now)) : this;
+  }
+
+  /** Returns the later of two ends; what a host knows by one it also knows by the other. */
+  Freshness later(Freshness other, long now) {
+    return other.nanosLeft(now) > nanosLeft(now) ? other : this;
+  }
+
   long nanosLeft(long now) {
     return switch (kind) {
       case NEVER -> 0;
