--- a/fleet/src/main/java/verbenahatch/fleet/Membership.java
+++ b/fleet/src/main/java/verbenahatch/fleet/Membership.java
@@ -253,7 +253,7 @@
       return false;
     }
     core.events().log(FleetEvent.MEMBERS_RESTORED, read.record().epoch(), known + 1);
-    if (core.isFresh() && core.isEpochSettled()) {
+    if (core.isEpochSettled()) {
       write(read, core.record().renumbered());
     }
     return false;
