Add readiness checks to the kernel and count store calls without events

A host is ready only when every part is; plug-ins now register named checks with Kernel.readiness().

--- a/kernel/src/main/java/verbenahatch/kernel/Kernel.java
+++ b/kernel/src/main/java/verbenahatch/kernel/Kernel.java
@@ -27,6 +27,7 @@
   private final Events events;
   private final Closer closer = new Closer();
   private final StateRegistry state = new StateRegistry();
+  private final Readiness readiness = new Readiness();
   private final PrometheusRegistry metrics = new PrometheusRegistry();
   private final Map<Class<?>, Object> services = new ConcurrentHashMap<>();
   private final ScheduledExecutorService scheduler;
@@ -200,6 +201,15 @@
     return state;
   }
 
+  /**
+   * Returns the readiness checks.
+   *
+   * @return the checks
+   */
+  public Readiness readiness() {
+    return readiness;
+  }
+
   /**
    * Returns the registry of metrics.
    *
--- a/store/src/main/java/verbenahatch/store/MeteredObjectStore.java
+++ b/store/src/main/java/verbenahatch/store/MeteredObjectStore.java
@@ -4,22 +4,16 @@
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
 import java.util.List;
-import java.util.Map;
-import java.util.concurrent.atomic.AtomicBoolean;
-import verbenahatch.kernel.Events;
 import verbenahatch.kernel.Result;
 
-/** Counts the calls to another store and logs when it stops or resumes answering. Thread-safe. */
+/** Counts the calls to another store by kind and result. Thread-safe. */
 final class MeteredObjectStore implements ObjectStore {
 
   private final ObjectStore store;
-  private final Events events;
   private final Counter calls;
-  private final AtomicBoolean reachable = new AtomicBoolean(true);
 
-  MeteredObjectStore(ObjectStore store, PrometheusRegistry metrics, Events events) {
+  MeteredObjectStore(ObjectStore store, PrometheusRegistry metrics) {
     this.store = store;
-    this.events = events;
     this.calls =
         Counter.builder()
             .name("verbenahatch_store_calls_total")
@@ -59,21 +53,9 @@
     store.close();
   }
 
-  Map<String, Object> view() {
-    return Map.of("reachable", reachable.get());
-  }
-
   private <T> Result<T, StoreError> count(String kind, Result<T, StoreError> result) {
     String label = result.isOk() ? "ok" : label(result.error());
     calls.labelValues(kind, label).inc();
-    boolean answered = !label.equals("unavailable") && !label.equals("unsettled");
-    if (reachable.getAndSet(answered) != answered) {
-      if (answered) {
-        events.log(StoreEvent.STORE_REACHED);
-      } else {
-        events.log(StoreEvent.STORE_UNREACHABLE, result.error());
-      }
-    }
     return result;
   }
 
--- a/store/src/main/java/verbenahatch/store/StorePlugin.java
+++ b/store/src/main/java/verbenahatch/store/StorePlugin.java
@@ -38,8 +38,7 @@
       throw new PluginException("object store adapter does not start", e);
     }
     kernel.closer().register(http);
-    MeteredObjectStore store = new MeteredObjectStore(http, kernel.metrics(), kernel.events());
-    kernel.state().register("store", store::view);
+    MeteredObjectStore store = new MeteredObjectStore(http, kernel.metrics());
     kernel.provide(ObjectStore.class, store);
     kernel.provide(HostList.class, http);
   }
