--- a/fleet/src/main/java/verbenahatch/fleet/FleetNode.java
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetNode.java
@@ -180,12 +180,13 @@
   }
 
   /**
-   * Returns the readiness.
+   * Tells why this host must not be given callers yet: it is no member, not fresh, has no document
+   * or lacks a generation that a majority of its peers reported.
    *
-   * @return the view of this host
+   * @return a short text for operators, empty if the host is ready
    */
-  public Readiness readiness() {
-    return readiness;
+  public String notReady() {
+    return readiness.reason();
   }
 
   /**
--- a/fleet/src/main/java/verbenahatch/fleet/FleetPlugin.java
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetPlugin.java
@@ -43,7 +43,7 @@
 
   @Override
   public Set<Class<?>> provides() {
-    return Set.of(Fleet.class, Facts.class, ConfigView.class, Keys.class, Readiness.class);
+    return Set.of(Fleet.class, Facts.class, ConfigView.class, Keys.class);
   }
 
   @Override
@@ -63,7 +63,7 @@
     kernel.provide(Facts.class, node.facts());
     kernel.provide(ConfigView.class, node.config());
     kernel.provide(Keys.class, node.keys());
-    kernel.provide(Readiness.class, node.readiness());
+    kernel.readiness().register("fleet", node::notReady);
     FleetViews.register(kernel, node);
     kernel.repeat("fleet-tick", TICK, node::tick);
     run(kernel, "fleet-store", () -> storeLoop(node));
--- a/fleet/src/main/java/verbenahatch/fleet/FleetReadiness.java
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetReadiness.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /** Derives readiness from membership, freshness and the generations that peers reported. */
-final class FleetReadiness implements Readiness {
+final class FleetReadiness {
 
   private final FleetCore core;
   private final ObjectSpread objects;
@@ -18,8 +18,8 @@
     this.poller = poller;
   }
 
-  @Override
-  public String reason() {
+  /** Tells what is missing; empty if the host is ready. */
+  String reason() {
     if (!core.isMember()) {
       return "not a member";
     }
--- a/fleet/src/main/java/verbenahatch/fleet/FleetViews.java
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetViews.java
@@ -52,7 +52,7 @@
   }
 
   private static int ready(FleetNode node) {
-    return node.readiness().isReady() ? 1 : 0;
+    return node.notReady().isEmpty() ? 1 : 0;
   }
 
   private static MembersView members(FleetNode node) {
@@ -61,7 +61,7 @@
         node.membersEpoch(),
         node.isFresh(),
         node.freshNanosLeft() / 1_000_000,
-        node.readiness().reason(),
+        node.notReady(),
         node.isWatcher(),
         node.isStoreDown(),
         node.contactAges(),
--- a/fleet/src/test/java/verbenahatch/fleet/FleetFailureTest.java
+++ b/fleet/src/test/java/verbenahatch/fleet/FleetFailureTest.java
@@ -12,6 +12,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import verbenahatch.model.KeyHash;
+import verbenahatch.standins.InMemoryObjectStore;
 
 class FleetFailureTest {
 
@@ -45,7 +46,7 @@
   /** Guards against a fleet that stops, or changes its members, because the store is down. */
   @Test
   void storeOutageLeavesFreshnessMembersAndWithdrawals() {
-    world.store.setDown(true);
+    world.setStoreDown(true);
     final long epoch = world.node(0).membersEpoch();
     for (int i = 0; i < 600; i++) {
       world.run(Duration.ofMillis(100));
@@ -58,7 +59,7 @@
     world.run(Duration.ofSeconds(20));
     assertEquals(epoch, world.node(0).membersEpoch(), "no host is fenced while the store is down");
     assertEquals(0, world.eventCount(FleetEvent.FENCING));
-    world.store.setDown(false);
+    world.setStoreDown(false);
     world.until(LIMIT, () -> world.node(0).facts().status(WITHDRAWN).durable());
     world.until(LIMIT, () -> world.members(8));
   }
@@ -124,7 +125,7 @@
   /** Guards against a woken host that trusts old contacts or old answers. */
   @Test
   void pausedHostIsNotFreshUntilNewAnswersArrive() {
-    world.store.setDown(true);
+    world.setStoreDown(true);
     world.pause(1);
     withdrawAt(0);
     world.run(Duration.ofSeconds(4));
@@ -166,7 +167,7 @@
   /** Guards against members lost, or added twice, when the store loses the answers to writes. */
   @Test
   void lostStoreAnswersAreReadBack() {
-    world.store.loseAnswers(name -> true);
+    world.loseStoreAnswers(1_000);
     world.kill(3);
     world.until(LIMIT, () -> world.members(8));
     world.start(3);
@@ -206,14 +207,14 @@
   /** Guards against the adoption of an older value from a stale read or a restored store. */
   @Test
   void olderValuesOfTheStoreAreRefusedAndReported() {
-    world.store.remember();
-    world.store.write("environment/" + FleetWorld.ENV, FleetWorld.document(2));
+    final InMemoryObjectStore.Snapshot older = world.store.snapshot();
+    world.write("environment/" + FleetWorld.ENV, FleetWorld.document(2));
     world.until(
         Duration.ofSeconds(6),
         () -> world.live(n -> n.generations().containsValue(2L)).size() == 9);
     world.kill(8);
     world.until(LIMIT, () -> world.members(8));
-    world.store.restore();
+    world.store.restore(older);
     world.run(Duration.ofSeconds(35));
     assertTrue(world.live(n -> n.config().document().orElseThrow().generation() != 2).isEmpty());
     assertTrue(world.eventCount(FleetEvent.OLDER_VALUE) > 0);
@@ -228,15 +229,14 @@
   void hostThatStartsInOutageHoldsConfigurationButIsNotReady() {
     world.kill(8);
     world.until(LIMIT, () -> world.members(8));
-    world.store.write("environment/" + FleetWorld.ENV, FleetWorld.document(5));
+    world.write("environment/" + FleetWorld.ENV, FleetWorld.document(5));
     world.run(Duration.ofSeconds(2));
-    world.store.setDown(true);
+    world.setStoreDown(true);
     world.start(8);
     world.run(Duration.ofSeconds(10));
-    assertFalse(world.node(8).readiness().isReady());
-    world.store.setDown(false);
-    world.store.loseAnswers(name -> false);
-    world.until(LIMIT, () -> world.node(8).readiness().isReady());
+    assertFalse(world.node(8).notReady().isEmpty());
+    world.setStoreDown(false);
+    world.until(LIMIT, () -> world.node(8).notReady().isEmpty());
     assertEquals(5, world.node(8).config().document().orElseThrow().generation());
   }
 }
--- a/fleet/src/test/java/verbenahatch/fleet/FleetWorld.java
+++ b/fleet/src/test/java/verbenahatch/fleet/FleetWorld.java
@@ -16,6 +16,8 @@
 import verbenahatch.peer.PeerAddress;
 import verbenahatch.peer.testing.FakePeerLink;
 import verbenahatch.peer.testing.FakePeerNetwork;
+import verbenahatch.standins.InMemoryObjectStore;
+import verbenahatch.standins.StoreFaults;
 
 /** Runs several nodes on one thread under manual time. */
 final class FleetWorld {
@@ -43,7 +45,7 @@
 
   final ManualClock clock = new ManualClock();
   final FakePeerNetwork network;
-  final FakeStore store = new FakeStore();
+  final InMemoryObjectStore store = new InMemoryObjectStore();
   final Map<Integer, Host> hosts = new HashMap<>();
   final Map<Integer, Long> events = new HashMap<>();
   private final int regions;
@@ -53,8 +55,26 @@
     this.regions = regions;
     network = new FakePeerNetwork(clock, seed);
     network.setDelay(Duration.ofMillis(1), Duration.ofMillis(40));
-    store.write("environment/" + ENV, document(1));
-    store.write("keys/" + ENV, ring(1, KEY, "vh_second"));
+    write("environment/" + ENV, document(1));
+    write("keys/" + ENV, ring(1, KEY, "vh_second"));
+  }
+
+  /** Writes an object as an operator does. */
+  void write(String name, byte[] value) {
+    var old = store.get(name);
+    long version = old.isOk() ? old.get().version() : 0;
+    if (!store.put(name, value, version, "operator-" + ids++).isOk()) {
+      throw new IllegalStateException("store refused " + name);
+    }
+  }
+
+  void setStoreDown(boolean down) {
+    store.setFaults(new StoreFaults(down, 0, false, 0, 0, false));
+  }
+
+  /** Loses the answers to the next writes; the writes take effect. */
+  void loseStoreAnswers(int count) {
+    store.setFaults(new StoreFaults(false, 0, false, count, 0, false));
   }
 
   static byte[] document(long generation) {
@@ -193,7 +213,7 @@
   }
 
   boolean allReady() {
-    return live(n -> !n.readiness().isReady()).isEmpty();
+    return live(n -> !n.notReady().isEmpty()).isEmpty();
   }
 
   void run(Duration time) {
@@ -224,7 +244,7 @@
                         host.node.membersEpoch(),
                         host.node.members().size(),
                         host.node.isFresh(),
-                        host.node.readiness().reason())));
+                        host.node.notReady())));
     return text.toString();
   }
 
--- a/fleet/src/test/java/verbenahatch/fleet/PromiseTest.java
+++ b/fleet/src/test/java/verbenahatch/fleet/PromiseTest.java
@@ -15,6 +15,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import verbenahatch.model.KeyHash;
+import verbenahatch.standins.StoreFaults;
 
 /**
  * Drives nine hosts through random failures and checks the promises at every step.
@@ -46,7 +47,6 @@
     private int nextKey;
     private long uses;
     private long lapses;
-    private boolean storeDown;
 
     Run(long seed) {
       world = new FleetWorld(seed, 3);
@@ -55,7 +55,7 @@
       for (int i = 0; i < KEYS; i++) {
         keys[i] = key(i);
       }
-      world.store.write("keys/" + FleetWorld.ENV, FleetWorld.ring(2, keys));
+      world.write("keys/" + FleetWorld.ENV, FleetWorld.ring(2, keys));
     }
 
     private static String key(int number) {
@@ -103,12 +103,12 @@
         case 8 -> world.network.setDelay(Duration.ZERO, Duration.ofMillis(random.nextInt(600)));
         case 9 -> world.network.setLoss(random.nextInt(3) * 0.1);
         case 10 -> {
-          storeDown = random.nextBoolean();
-          world.store.setDown(storeDown);
+          world.setStoreDown(random.nextBoolean());
         }
         case 11 -> {
-          boolean lose = random.nextBoolean();
-          world.store.loseAnswers(name -> lose && random.nextBoolean());
+          int answers = random.nextInt(5);
+          world.store.setFaults(
+              new StoreFaults(false, 0, false, answers, random.nextInt(3), false));
         }
         default -> withdraw(host);
       }
@@ -208,8 +208,7 @@
     world.network.heal();
     world.network.setLoss(0);
     world.network.setDelay(Duration.ZERO, Duration.ofMillis(40));
-    world.store.setDown(false);
-    world.store.loseAnswers(name -> false);
+    world.setStoreDown(false);
     for (int i = 0; i < HOSTS; i++) {
       if (!world.at(i).alive) {
         world.start(i);
