Place requests by region shares, two choices and a fair queue; notice callers that leave

Cause: the data path chose by own counts only, refused when targets were full, ignored link caps, and did not notice a caller that closed an HTTP/1.1 connection. Change: a request takes a place (target, region, link bytes both ways) or waits in the fair queue of its workspace; bodies cross a capped link only after their bytes are granted; load reports come with answers and once a second; failing targets are ejected. A watch on the caller's connection cancels the attempt; pipelined bytes go back to the connection.

--- a/gateway/src/main/java/verbenahatch/gateway/Attempt.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Attempt.java
@@ -19,7 +19,6 @@
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.model.EnvironmentDocument.Target;
-import verbenahatch.routing.TargetLoad;
 
 /** Sends a request to one target and passes its answer on. */
 final class Attempt {
@@ -28,9 +27,8 @@
   private static final double FIRST_ATTEMPT_SHARE = 0.5;
 
   private final Exchange exchange;
-  private final TargetLoad load;
+  private final Place place;
   private final Target target;
-  private final boolean inRegion;
   private final String requestId = UUID.randomUUID().toString();
   private final AtomicBoolean done = new AtomicBoolean();
   private volatile @Nullable Request upstream;
@@ -41,11 +39,10 @@
   private volatile long firstByteNanos;
   private long startNanos;
 
-  Attempt(Exchange exchange, TargetLoad load, boolean inRegion) {
+  Attempt(Exchange exchange, Place place) {
     this.exchange = exchange;
-    this.load = load;
-    this.target = load.target();
-    this.inRegion = inRegion;
+    this.place = place;
+    this.target = place.target().target();
   }
 
   /** Stops an attempt with a refusal of the gateway. */
@@ -77,7 +74,7 @@
             .headers(headers -> writeHeaders(caller, headers, own));
     CallerContent content = exchange.content();
     if (content != null) {
-      next.body(content);
+      next.body(new MeteredContent(content, place.out()));
       if (content.getLength() < 0) {
         next.trailersSupplier(content::trailers);
       }
@@ -124,6 +121,7 @@
 
   private void answer(Response response, Content.Source source) {
     firstByteNanos = exchange.context.clock().nanoTime();
+    LoadReports.fromAnswer(response.getHeaders(), place.target(), firstByteNanos);
     Refusal found = inspect(response);
     if (found != null) {
       refusal = found;
@@ -138,7 +136,10 @@
     if (response.getHeaders().contains(HttpHeader.TRAILER)) {
       caller.setTrailersSupplier(response::getTrailers);
     }
-    Content.copy(source, caller, Callback.from(() -> {}, failure -> cancel(failure)));
+    long length = response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
+    place.service().answered(Math.max(0, length));
+    Content.Source metered = new MeteredContent(source, place.back());
+    Content.copy(metered, caller, Callback.from(() -> {}, failure -> cancel(failure)));
   }
 
   private @Nullable Refusal inspect(Response response) {
@@ -178,11 +179,8 @@
     if (!done.compareAndSet(false, true)) {
       return;
     }
-    load.release();
-    if (inRegion) {
-      exchange.context.limits().leaveRegion(target.region());
-    }
     record(result);
+    place.release();
     if (result.isSucceeded()) {
       exchange.finish();
       return;
@@ -228,18 +226,27 @@
     if (!sent && !connectFailed) {
       return;
     }
-    if (callerGone || refusal == Refusal.TARGET_SHED) {
+    long now = exchange.context.clock().nanoTime();
+    if (refusal == Refusal.TARGET_SHED) {
+      place.target().shed(now);
+      return;
+    }
+    if (callerGone) {
       return;
     }
     boolean failed =
         result.isFailed()
             || result.getResponse().getStatus() >= HttpStatus.INTERNAL_SERVER_ERROR_500;
-    long end = firstByteNanos != 0 ? firstByteNanos : exchange.context.clock().nanoTime();
+    long end = firstByteNanos != 0 ? firstByteNanos : now;
+    exchange.path.targets().outcome(place.service(), place.target(), failed);
+    if (!failed) {
+      place.service().took(now - startNanos);
+    }
     exchange
         .context
         .releases()
         .record(
-            exchange.routeFound().service(),
+            place.service().name(),
             exchange.routeFound().name(),
             target.version(),
             failed,
--- a/gateway/src/main/java/verbenahatch/gateway/CallerContent.java
+++ b/gateway/src/main/java/verbenahatch/gateway/CallerContent.java
@@ -1,6 +1,5 @@
 package verbenahatch.gateway;
 
-import java.util.function.LongConsumer;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.Trailers;
@@ -18,7 +17,7 @@
   private final Content.Source source;
   private final long length;
   private final @Nullable String key;
-  private final LongConsumer onBytes;
+  private final Runnable onEnd;
   private Content.@Nullable Chunk first;
   private volatile boolean touched;
   private volatile HttpFields trailers = HttpFields.EMPTY;
@@ -28,12 +27,12 @@
       long length,
       Content.@Nullable Chunk first,
       @Nullable String key,
-      LongConsumer onBytes) {
+      Runnable onEnd) {
     this.source = source;
     this.length = length;
     this.first = first;
     this.key = key;
-    this.onBytes = onBytes;
+    this.onEnd = onEnd;
   }
 
   /** Tells whether a byte was taken from the caller, so that the body cannot be sent again. */
@@ -61,10 +60,11 @@
     }
     if (chunk instanceof Trailers last) {
       trailers = HeaderRules.trailers(last.getTrailers(), key);
+      onEnd.run();
       return Content.Chunk.EOF;
     }
-    if (chunk != null && chunk.hasRemaining()) {
-      onBytes.accept(chunk.remaining());
+    if (chunk != null && chunk.isLast() && !Content.Chunk.isFailure(chunk)) {
+      onEnd.run();
     }
     return chunk;
   }
--- a/gateway/src/main/java/verbenahatch/gateway/DataPath.java
+++ b/gateway/src/main/java/verbenahatch/gateway/DataPath.java
@@ -2,13 +2,17 @@
 
 import io.prometheus.metrics.core.metrics.Counter;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Scheduler;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.model.EnvironmentDocument;
 import verbenahatch.model.EnvironmentDocument.Route;
+import verbenahatch.model.EnvironmentDocument.Workspace;
 import verbenahatch.routing.RetryBudget;
 
 /** Holds what all requests of this host share. */
@@ -22,17 +26,23 @@
 
   private final GatewayContext context;
   private final TargetClient client;
-  private final TargetDirectory targets;
+  private final Targets targets;
+  private final PlaceQueues queues;
+  private final Scheduler timer;
   private final RetryBudget retries = new RetryBudget(RETRY_RATIO, RETRY_RESERVE);
   private final RunningRequests running = new RunningRequests();
   private final Counter requests;
   private final Counter refusals;
+  private volatile Map<String, Double> weights = Map.of();
   private volatile RouteTable routes = new RouteTable(List.of());
 
-  DataPath(GatewayContext context, TargetClient client, PrometheusRegistry metrics) {
+  DataPath(
+      GatewayContext context, TargetClient client, Scheduler timer, PrometheusRegistry metrics) {
     this.context = context;
     this.client = client;
-    this.targets = new TargetDirectory(context.settings().region());
+    this.timer = timer;
+    this.targets = new Targets(context);
+    this.queues = new PlaceQueues(context.clock(), this::weight);
     this.requests =
         Counter.builder()
             .name("verbenahatch_gateway_requests_total")
@@ -50,9 +60,23 @@
 
   private void update(EnvironmentDocument document) {
     targets.update(document);
+    Map<String, Double> byName = new HashMap<>();
+    for (Workspace workspace : document.workspaces()) {
+      byName.put(workspace.name(), workspace.weight());
+    }
+    weights = Map.copyOf(byName);
     routes = new RouteTable(document.routes());
   }
 
+  private double weight(String workspace) {
+    return weights.getOrDefault(workspace, 1.0);
+  }
+
+  /** Lets waiting requests search again and refuses those that are late. */
+  void tick() {
+    queues.tick();
+  }
+
   void handle(Request request, Response response, Callback callback) {
     running.enter();
     requests.inc();
@@ -77,10 +101,18 @@
     return client;
   }
 
-  TargetDirectory targets() {
+  Targets targets() {
     return targets;
   }
 
+  PlaceQueues queues() {
+    return queues;
+  }
+
+  Scheduler timer() {
+    return timer;
+  }
+
   RouteTable routes() {
     return routes;
   }
--- a/gateway/src/main/java/verbenahatch/gateway/Exchange.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Exchange.java
@@ -12,14 +12,12 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
-import verbenahatch.fleet.Drains;
 import verbenahatch.fleet.KeyCheck;
 import verbenahatch.limits.Admission;
 import verbenahatch.model.EnvironmentDocument;
 import verbenahatch.model.EnvironmentDocument.Access;
 import verbenahatch.model.EnvironmentDocument.Route;
 import verbenahatch.model.EnvironmentDocument.Service;
-import verbenahatch.routing.TargetLoad;
 
 /**
  * Takes one request from the caller to a target and back.
@@ -27,11 +25,14 @@
  * <p>Steps: route, key, admission, version, region and target, last check, forwarding. Each step
  * continues on the thread that completes it; nothing blocks.
  */
-final class Exchange {
+final class Exchange implements Placement.Listener {
 
   /** Attempts per request, the first included. */
   private static final int MAX_ATTEMPTS = 3;
 
+  /** Places become free within some requests' time; a second spreads the retries of callers. */
+  private static final long NO_CAPACITY_RETRY_MILLIS = 1_000;
+
   final DataPath path;
   final GatewayContext context;
   final Request request;
@@ -39,6 +40,7 @@
   private final Callback callback;
   private final AtomicBoolean finished = new AtomicBoolean();
   private final AtomicReference<@Nullable Attempt> attempt = new AtomicReference<>();
+  private final AtomicReference<@Nullable CallerWatch> watch = new AtomicReference<>();
   private final Set<String> tried = new HashSet<>();
   private volatile boolean callerGone;
   private int attempts;
@@ -52,6 +54,7 @@
   private @Nullable String workspace;
   private @Nullable String keyHash;
   private @Nullable Route route;
+  private @Nullable ServiceTargets service;
   private String version = "";
   private long deadlineNanos;
   private @Nullable CallerContent content;
@@ -150,12 +153,14 @@
   }
 
   private void chooseVersion(EnvironmentDocument document, Route found) {
-    for (Service service : document.services()) {
-      if (service.name().equals(found.service())) {
+    ServiceTargets targets = path.targets().service(found.service());
+    for (Service candidate : document.services()) {
+      if (targets != null && candidate.name().equals(found.service())) {
         double draw = ThreadLocalRandom.current().nextDouble();
-        version = context.releases().chooseVersion(service.name(), service.version(), draw);
+        version = context.releases().chooseVersion(candidate.name(), candidate.version(), draw);
+        service = targets;
         prepareContent();
-        tryRegions(0, false);
+        findPlace();
         return;
       }
     }
@@ -172,73 +177,35 @@
       if (first != null && first.isLast() && !first.hasRemaining()) {
         return;
       }
-    } else if (length < 0 && !chunked) {
+    } else if (length == 0 || (length < 0 && !chunked)) {
+      watchCaller();
       return;
     }
-    if (length != 0) {
-      content = new CallerContent(request, length, first, key, bytes -> {});
-    }
+    content = new CallerContent(request, length, first, key, this::watchCaller);
   }
 
-  private void tryRegions(int index, boolean someFull) {
-    if (callerGone) {
-      finish();
-      return;
-    }
-    Route found = routeFound();
-    if (context.clock().nanoTime() - deadlineNanos >= 0) {
-      refuse(Refusal.DEADLINE_UNREACHABLE);
-      return;
-    }
-    boolean fresh = context.fleet().isFresh();
-    if (!fresh && found.access() == Access.KEYED) {
-      refuse(Refusal.HOST_NOT_FRESH);
-      return;
-    }
-    Drains drains = context.config().drains();
-    for (int i = index; i < path.targets().regions().size(); i++) {
-      String region = path.targets().regions().get(i);
-      if (!fresh && !region.equals(context.settings().region())) {
-        break;
-      }
-      TargetLoad target = path.targets().acquire(found.service(), version, region, drains, tried);
-      if (target == null) {
-        continue;
-      }
-      int next = i + 1;
-      if (!fresh) {
-        attempt(target, false);
-        return;
-      }
-      context
-          .limits()
-          .enterRegion(region, deadlineNanos)
-          .thenAccept(admission -> entered(target, admission, next))
-          .exceptionally(this::internal);
-      return;
-    }
-    Refusal failure = lastFailure;
-    if (failure != null) {
-      refuse(failure);
-      return;
-    }
-    boolean exists = path.targets().hasTarget(found.service(), version, drains);
-    refuse(exists || someFull ? Refusal.NO_CAPACITY : Refusal.NO_TARGET, 1_000);
+  private void watchCaller() {
+    watch.set(CallerWatch.begin(request, this::onCallerGone));
   }
 
-  private void entered(TargetLoad target, Admission admission, int nextRegion) {
-    if (admission instanceof Admission.Admitted) {
-      attempt(target, true);
-      return;
+  private void endWatch() {
+    CallerWatch watching = watch.getAndSet(null);
+    if (watching != null) {
+      watching.end();
     }
-    target.release();
-    tryRegions(nextRegion, true);
   }
 
-  private void attempt(TargetLoad target, boolean inRegion) {
+  private void findPlace() {
+    String waitsAs = workspace == null ? "" : workspace;
+    boolean open = routeFound().access() == Access.OPEN;
+    new Placement(path, service(), version, waitsAs, tried, deadlineNanos, open, this).begin();
+  }
+
+  @Override
+  public void placed(Place place) {
     attempts++;
-    tried.add(target.target().id());
-    Attempt next = new Attempt(this, target, inRegion);
+    tried.add(place.target().target().id());
+    Attempt next = new Attempt(this, place);
     attempt.set(next);
     next.start();
     if (callerGone) {
@@ -246,6 +213,21 @@
     }
   }
 
+  @Override
+  public void notPlaced(Refusal refusal) {
+    Refusal failure = lastFailure;
+    if (failure != null) {
+      refuse(failure);
+    } else {
+      refuse(refusal, refusal == Refusal.NO_CAPACITY ? NO_CAPACITY_RETRY_MILLIS : 0);
+    }
+  }
+
+  @Override
+  public boolean isGone() {
+    return callerGone;
+  }
+
   /**
    * Checks freshness, key and deadline at the moment before the first byte.
    *
@@ -286,7 +268,7 @@
             || refusal == Refusal.ANSWER_MISMATCHED
             || refusal == Refusal.DEADLINE_EXCEEDED;
     if (again && retryable && !callerGone && path.retries().tryRetry()) {
-      tryRegions(0, true);
+      findPlace();
       return;
     }
     refuse(refusal);
@@ -312,6 +294,14 @@
     return found;
   }
 
+  private ServiceTargets service() {
+    ServiceTargets found = service;
+    if (found == null) {
+      throw new IllegalStateException("no service yet");
+    }
+    return found;
+  }
+
   @Nullable String key() {
     return key;
   }
@@ -338,6 +328,7 @@
     boolean hides = earlier != null && reason.outcome() == Outcome.NOT_RUN;
     Refusal refusal = hides ? Objects.requireNonNull(earlier) : reason;
     if (finished.compareAndSet(false, true)) {
+      endWatch();
       path.count(routeFoundOrNull(), refusal);
       Refusals.write(response, path.leaving(callback), refusal, retryAfterMillis);
     }
@@ -350,6 +341,7 @@
   /** Ends the exchange after a complete answer. */
   void finish() {
     if (finished.compareAndSet(false, true)) {
+      endWatch();
       path.leaving(callback).succeeded();
     }
   }
@@ -357,6 +349,7 @@
   /** Ends the caller's answer as broken. */
   void breakOff(Throwable cause) {
     if (finished.compareAndSet(false, true)) {
+      endWatch();
       path.leaving(callback).failed(cause);
     }
   }
--- a/gateway/src/main/java/verbenahatch/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/verbenahatch/gateway/GatewayEvent.java
@@ -15,7 +15,9 @@
   /** A request failed inside the gateway. */
   REQUEST_FAILED(7005, Level.ERROR, "request failed inside the gateway: {}"),
   /** A request to a target timed out, so idle connections to the target are closed. */
-  TARGET_SILENT(7006, Level.WARN, "target {} was silent; {} idle connections closed");
+  TARGET_SILENT(7006, Level.WARN, "target {} was silent; {} idle connections closed"),
+  /** A target fails more than others and gets no work for a time. */
+  TARGET_EJECTED(7007, Level.WARN, "target {} of service {} ejected after failures");
 
   private final int number;
   private final Level level;
--- a/gateway/src/main/java/verbenahatch/gateway/GatewayPlugin.java
+++ b/gateway/src/main/java/verbenahatch/gateway/GatewayPlugin.java
@@ -54,7 +54,7 @@
             kernel.events());
     try {
       GatewayServer server = new GatewayServer(context, kernel.metrics());
-      kernel.closer().register(server);
+      kernel.closer().register(server::stopGracefully);
       kernel.provide(GatewayServer.class, server);
       kernel
           .state()
--- a/gateway/src/main/java/verbenahatch/gateway/GatewayServer.java
+++ b/gateway/src/main/java/verbenahatch/gateway/GatewayServer.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -30,6 +31,9 @@
   /** A caller that sends or takes nothing for this time loses its connection. */
   private static final long CALLER_IDLE_MILLIS = 60_000;
 
+  /** Waiting requests search again after this time even if this host frees no place. */
+  private static final long TICK_MILLIS = 20;
+
   private static final int MAX_HEADER_BYTES = 16 * 1024;
 
   /** Memory that idle buffers may keep, in bytes, on the heap and outside it. */
@@ -43,6 +47,8 @@
   private final TargetClient client;
   private final DataPath path;
   private final EntryAdvice advice;
+  private final LoadReports reports;
+  private volatile boolean closed;
 
   /**
    * Starts listening.
@@ -71,11 +77,13 @@
     server.addConnector(connector);
     client = new TargetClient(threads, timer, buffers);
     client.keepMessagesUnchanged();
-    path = new DataPath(context, client, metrics);
+    path = new DataPath(context, client, timer, metrics);
     advice = new EntryAdvice(context);
     server.setHandler(new Entrance());
     server.setErrorHandler(new MalformedRequests());
     server.start();
+    reports = new LoadReports(context, path.targets(), client);
+    timer.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
     context.events().log(GatewayEvent.LISTENING, context.settings().callers().address(), port());
   }
 
@@ -162,8 +170,36 @@
     context.events().log(GatewayEvent.DRAINED, running());
   }
 
+  private void tick() {
+    if (closed) {
+      return;
+    }
+    try {
+      path.tick();
+      reports.tick();
+    } finally {
+      timer.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /**
+   * Stops gracefully: leaves the advice, serves until cached advice lapses, waits for running
+   * requests, and closes.
+   *
+   * @throws Exception if a part fails to close
+   */
+  public void stopGracefully() throws Exception {
+    beginDrain();
+    CountDownLatch lapsed = new CountDownLatch(1);
+    timer.schedule(lapsed::countDown, context.settings().adviceSeconds(), TimeUnit.SECONDS);
+    lapsed.await();
+    finishDrain(Duration.ofSeconds(context.settings().drainSeconds()));
+    close();
+  }
+
   @Override
   public void close() throws Exception {
+    closed = true;
     // Server and client share threads and timer, so neither stops them.
     server.stop();
     client.close();
--- a/gateway/src/test/java/verbenahatch/gateway/ScriptedTarget.java
+++ b/gateway/src/test/java/verbenahatch/gateway/ScriptedTarget.java
@@ -1,6 +1,5 @@
 package verbenahatch.gateway;
 
-import java.io.BufferedInputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.InetAddress;
@@ -36,8 +35,15 @@
   private final Script script;
   final List<String> heads = new java.util.concurrent.CopyOnWriteArrayList<>();
 
+  private final boolean skipsBody;
+
   ScriptedTarget(Script script) throws IOException {
+    this(script, true);
+  }
+
+  ScriptedTarget(Script script, boolean skipsBody) throws IOException {
     this.script = script;
+    this.skipsBody = skipsBody;
     listener = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     threads.execute(this::accept);
   }
@@ -89,11 +95,15 @@
 
   private void serve(Socket socket) {
     try (socket) {
-      InputStream in = new BufferedInputStream(socket.getInputStream());
+      InputStream in = socket.getInputStream();
       for (String head = head(in); !head.isEmpty(); head = head(in)) {
+        if (head.startsWith("GET /load ") || head.startsWith("GET /health ")) {
+          write(socket, ok(head, "{\"inFlight\":0,\"slots\":3}"));
+          continue;
+        }
         heads.add(head);
         String length = header(head, "content-length");
-        if (!length.isEmpty()) {
+        if (skipsBody && !length.isEmpty()) {
           in.skipNBytes(Long.parseLong(length));
         }
         if (!script.handle(head, socket)) {
--- a/routing/src/main/java/verbenahatch/routing/FairQueue.java
+++ b/routing/src/main/java/verbenahatch/routing/FairQueue.java
@@ -180,6 +180,21 @@
     return null;
   }
 
+  /**
+   * Returns a request that was polled to the head of its line.
+   *
+   * @param workspace its workspace
+   * @param request the request
+   * @param latestNanos the latest time at which it must leave the queue
+   */
+  public synchronized void putBack(String workspace, T request, long latestNanos) {
+    Line<T> line = lines.computeIfAbsent(workspace, name -> new Line<>());
+    Item<T> head = line.items.peekFirst();
+    double start = head == null ? virtualTime : Math.min(virtualTime, head.start());
+    line.items.addFirst(new Item<>(request, start, latestNanos));
+    size++;
+  }
+
   private void departed(long nowNanos) {
     if (busySinceDeparture) {
       intervalNanos += INTERVAL_WEIGHT * (nowNanos - lastDepartureNanos - intervalNanos);
