--- a/limits/src/main/java/verbenahatch/limits/Election.java
+++ b/limits/src/main/java/verbenahatch/limits/Election.java
@@ -54,6 +54,9 @@
   /** Longest wait for an answer; a round trip between regions takes 70 ms. */
   private static final Duration CLOSE_TIMEOUT = Duration.ofMillis(300);
 
+  /** Time between two events about members that have not closed the epoch. */
+  private static final long REPORT_PERIOD_NANOS = 5_000_000_000L;
+
   private enum Phase {
     READING,
     CLOSING,
@@ -75,6 +78,7 @@
   private long epoch;
   private long version;
   private long closedAt;
+  private long reportAt;
 
   Election(int group, LimitsContext context, String self, boolean renewOwn, Outcome outcome) {
     this.group = group;
@@ -123,6 +127,7 @@
       epoch = closing;
       version = readVersion;
       phase = Phase.CLOSING;
+      reportAt = context.clock().nanoTime() + REPORT_PERIOD_NANOS;
       missing.addAll(context.members().live().keySet());
       missing.add(self);
     }
@@ -146,6 +151,7 @@
     Set<String> open = new HashSet<>();
     Map<String, Member> members = context.members().live();
     synchronized (this) {
+      reportMissing();
       missing.removeIf(one -> !one.equals(self) && !members.containsKey(one));
       for (String one : missing) {
         if (asked.add(one)) {
@@ -164,6 +170,14 @@
     writeIfClosed();
   }
 
+  private void reportMissing() {
+    long now = context.clock().nanoTime();
+    if (now - reportAt >= 0) {
+      reportAt = now + REPORT_PERIOD_NANOS;
+      missing.forEach(one -> context.events().log(LimitsEvent.CLOSE_WAITING, group, one, epoch));
+    }
+  }
+
   private void sendClose(Member member) {
     byte[] body = CloseShares.newBuilder().setGroup(group).setEpoch(epoch).build().toByteArray();
     context
--- a/limits/src/main/java/verbenahatch/limits/testing/LimitSimulation.java
+++ b/limits/src/main/java/verbenahatch/limits/testing/LimitSimulation.java
@@ -114,8 +114,18 @@
    */
   public void setLatency(Duration inside, Duration between) {
     network.setLatency(
-        (from, to, random) ->
-            from.port() % regions == to.port() % regions ? inside.toNanos() : between.toNanos());
+        (from, to, random) -> (isSameRegion(from.port(), to.port()) ? inside : between).toNanos());
+  }
+
+  /**
+   * Tells whether two hosts are in one region.
+   *
+   * @param left the index of a host
+   * @param right the index of another
+   * @return true if they are
+   */
+  public boolean isSameRegion(int left, int right) {
+    return left % regions == right % regions;
   }
 
   /**
@@ -276,6 +286,7 @@
         host.contacts.put(other.self().incarnation(), now);
       }
     }
+    host.refresh();
     if (reached <= members.size() / 2) {
       return;
     }
--- a/limits/src/main/java/verbenahatch/limits/testing/RequestLoad.java
+++ b/limits/src/main/java/verbenahatch/limits/testing/RequestLoad.java
@@ -1,8 +1,10 @@
 package verbenahatch.limits.testing;
 
 import java.time.Duration;
+import java.util.List;
 import java.util.Random;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Function;
 import verbenahatch.limits.Admission;
 import verbenahatch.limits.Limits;
 
@@ -18,13 +20,15 @@
   private static final long PATIENCE_NANOS = 2_000_000_000L;
 
   private final LimitSimulation simulation;
-  private final String workspace;
+  private final List<String> workspaces;
+  private final Function<SimulatedHost, Limits> limits;
   private final Random random;
   private final AdmissionLog log;
   private long offered;
   private long admitted;
   private long overLimit;
   private long notFresh;
+  private long waited;
 
   /**
    * Creates a load.
@@ -35,8 +39,27 @@
    * @param log records the admissions
    */
   public RequestLoad(LimitSimulation simulation, String workspace, long seed, AdmissionLog log) {
+    this(simulation, List.of(workspace), seed, log, SimulatedHost::limits);
+  }
+
+  /**
+   * Creates a load that several workspaces share evenly.
+   *
+   * @param simulation the hosts
+   * @param workspaces the workspaces that send
+   * @param seed the seed of the arrivals
+   * @param log records the admissions of all of them
+   * @param limits returns what decides at a host
+   */
+  public RequestLoad(
+      LimitSimulation simulation,
+      List<String> workspaces,
+      long seed,
+      AdmissionLog log,
+      Function<SimulatedHost, Limits> limits) {
     this.simulation = simulation;
-    this.workspace = workspace;
+    this.workspaces = workspaces;
+    this.limits = limits;
     this.random = new Random(seed);
     this.log = log;
   }
@@ -82,22 +105,24 @@
       SimulatedHost host = simulation.hosts().get((chosen + i) % hosts);
       if (host.isRunning()) {
         offered++;
-        decide(host.limits());
+        decide(limits.apply(host));
         return;
       }
     }
   }
 
-  private void decide(Limits limits) {
-    CompletableFuture<Admission> decision =
-        limits.admit(workspace, simulation.clock().nanoTime() + PATIENCE_NANOS);
-    decision.thenAccept(this::count);
+  private void decide(Limits decider) {
+    String workspace = workspaces.get(random.nextInt(workspaces.size()));
+    long start = simulation.clock().nanoTime();
+    CompletableFuture<Admission> decision = decider.admit(workspace, start + PATIENCE_NANOS);
+    decision.thenAccept(admission -> count(admission, start));
   }
 
-  private void count(Admission admission) {
+  private void count(Admission admission, long start) {
     if (admission instanceof Admission.Admitted) {
       admitted++;
       log.admit(1, simulation.clock().nanoTime());
+      waited += simulation.clock().nanoTime() - start;
     } else if (admission instanceof Admission.NotFresh) {
       notFresh++;
     } else {
@@ -141,11 +166,30 @@
     return notFresh;
   }
 
+  /**
+   * Returns how long admitted requests waited for the decision, on average.
+   *
+   * @return milliseconds
+   */
+  public double meanWaitMillis() {
+    return admitted == 0 ? 0 : waited / 1e6 / admitted;
+  }
+
+  /**
+   * Returns the part of the requests that was refused.
+   *
+   * @return between 0 and 1; requests without a decision yet count as admitted
+   */
+  public double refusedPart() {
+    return offered == 0 ? 0 : (double) (overLimit + notFresh) / offered;
+  }
+
   /** Sets the counts, but not the log, back to zero. */
   public void resetCounts() {
     offered = 0;
     admitted = 0;
     overLimit = 0;
     notFresh = 0;
+    waited = 0;
   }
 }
--- a/limits/src/main/java/verbenahatch/limits/testing/SimulatedHost.java
+++ b/limits/src/main/java/verbenahatch/limits/testing/SimulatedHost.java
@@ -1,6 +1,7 @@
 package verbenahatch.limits.testing;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -38,6 +39,7 @@
   private Member self;
   private List<Member> members = List.of();
   private long epoch;
+  private long freshUntil;
   private @Nullable EnvironmentDocument document;
   private @Nullable SharedLimits limits;
 
@@ -99,12 +101,14 @@
     self = renewed;
     contacts.clear();
     members = List.of();
+    refresh();
   }
 
   void see(long newEpoch, List<Member> newMembers) {
     if (newEpoch > epoch) {
       epoch = newEpoch;
       members = List.copyOf(newMembers);
+      refresh();
       memberListeners.forEach(listener -> listener.accept(members));
     }
   }
@@ -138,24 +142,31 @@
 
   @Override
   public long freshNanosLeft() {
+    return Math.max(0, freshUntil - clock.nanoTime());
+  }
+
+  /** Computes how long this host stays fresh, after a change of contacts or members. */
+  void refresh() {
     boolean isMember = false;
-    List<Long> ages = new ArrayList<>();
-    long now = clock.nanoTime();
+    List<Long> times = new ArrayList<>();
     for (Member member : members) {
       if (member.incarnation().equals(self.incarnation())) {
         isMember = true;
-        ages.add(0L);
+        times.add(Long.MAX_VALUE);
       } else {
-        Long contact = contacts.get(member.incarnation());
-        ages.add(contact == null ? Long.MAX_VALUE : now - contact);
+        times.add(contacts.getOrDefault(member.incarnation(), Long.MIN_VALUE));
       }
     }
-    if (!isMember) {
-      return 0;
+    freshUntil = 0;
+    if (isMember) {
+      times.sort(Comparator.reverseOrder());
+      long contact = times.get(members.size() / 2);
+      freshUntil = contact == Long.MIN_VALUE ? 0 : lastOf(contact);
     }
-    ages.sort(null);
-    long age = ages.get(members.size() / 2);
-    return age == Long.MAX_VALUE ? 0 : FRESHNESS_NANOS - age;
+  }
+
+  private static long lastOf(long contact) {
+    return contact == Long.MAX_VALUE ? contact : contact + FRESHNESS_NANOS;
   }
 
   @Override
