--- a/bench/src/main/java/verbenahatch/measure/limits/LimitsMeasurement.java
+++ b/bench/src/main/java/verbenahatch/measure/limits/LimitsMeasurement.java
@@ -68,7 +68,8 @@
       uneven(approach, seed);
       kill(approach, seed, true);
       kill(approach, seed, false);
-      outage(approach, seed);
+      outage(approach, seed, true);
+      outage(approach, seed, false);
     }
     figures.add(Figure.atMost("limits-excess", excess, "requests", 0));
     cost(seed);
@@ -209,12 +210,13 @@
   }
 
   /** Stops the store for an hour and kills a host every 20 minutes, the home first. */
-  private void outage(Approach approach, long seed) {
+  private void outage(Approach approach, long seed, boolean spread) {
     LimitSimulation simulation = start(seed, HOSTS, OUTAGE_TICK);
     AdmissionLog log = log(simulation);
     RequestLoad load = load(approach, simulation, seed, log);
     load.run(Duration.ofSeconds(10), OUTAGE_LOAD, even(HOSTS));
     simulation.store().setDown(true);
+    load.setSpread(spread);
     load.resetCounts();
     int first = approach == Approach.SHARES ? home(simulation) : 0;
     double worst = 1;
@@ -227,13 +229,16 @@
       load.run(Duration.ofMinutes(1), OUTAGE_LOAD, even(HOSTS));
       worst = Math.min(worst, (load.admitted() - admitted) / (double) (load.offered() - offered));
     }
+    String suffix = spread ? "" : "-one-neighbour";
     add(
         approach,
-        "outage-refused",
+        "outage-refused" + suffix,
         load.refusedPart() * PERCENT,
         "%",
         (name, value) -> Figure.atMost(name, value, "%", 1));
-    figures.add(Figure.info("limits-outage-worst-minute-" + approach.label, worst * PERCENT, "%"));
+    figures.add(
+        Figure.info(
+            "limits-outage-worst-minute" + suffix + "-" + approach.label, worst * PERCENT, "%"));
     note(approach, log);
   }
 
--- a/limits/src/main/java/verbenahatch/limits/HolderLedger.java
+++ b/limits/src/main/java/verbenahatch/limits/HolderLedger.java
@@ -24,9 +24,15 @@
  */
 final class HolderLedger {
 
-  /** Time between exchanges while demand changes. */
+  /** Shortest time between exchanges while demand changes and no request waits. */
   static final long BUSY_PERIOD_NANOS = 250_000_000L;
 
+  /**
+   * Time between busy exchanges for each member of the fleet. The home of a group then answers at
+   * most 100 of them a second however many members there are.
+   */
+  static final long BUSY_PERIOD_PER_MEMBER_NANOS = 10_000_000L;
+
   /** Shortest time between exchanges while nothing changes. */
   static final long IDLE_PERIOD_NANOS = 2_000_000_000L;
 
@@ -52,7 +58,7 @@
    * Change of demand that is reported soon, as a fraction of the rate held. Smaller changes are met
    * by the share; reporting each cost 101 messages a second per host at 9 hosts.
    */
-  private static final double NOTABLE_PART_OF_SHARE = 0.25;
+  private static final double NOTABLE_PART_OF_SHARE = 0.125;
 
   private final int group;
   private final Clock clock;
@@ -216,7 +222,9 @@
 
   private boolean isDue(long now) {
     long since = now - lastSentAt;
-    long idle = Math.max(IDLE_PERIOD_NANOS, IDLE_PERIOD_PER_MEMBER_NANOS * memberCount.getAsInt());
+    int members = memberCount.getAsInt();
+    long idle = Math.max(IDLE_PERIOD_NANOS, IDLE_PERIOD_PER_MEMBER_NANOS * members);
+    long busy = Math.max(BUSY_PERIOD_NANOS, BUSY_PERIOD_PER_MEMBER_NANOS * members);
     if (since >= idle || hinted || !keeps.isEmpty()) {
       return true;
     }
@@ -227,7 +235,7 @@
           return true;
         }
       }
-      if (since >= BUSY_PERIOD_NANOS && changed(limit, now)) {
+      if (since >= busy && changed(limit, now)) {
         return true;
       }
     }
