--- a/fleet/src/main/java/verbenahatch/fleet/ConfigHolder.java
+++ b/fleet/src/main/java/verbenahatch/fleet/ConfigHolder.java
@@ -4,6 +4,7 @@
 import java.util.Optional;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.kernel.Json;
 import verbenahatch.kernel.JsonException;
@@ -16,11 +17,17 @@
   private final List<Consumer<EnvironmentDocument>> listeners = new CopyOnWriteArrayList<>();
   private volatile @Nullable EnvironmentDocument document;
   private volatile Drains drains = Drains.NONE;
+  private volatile Function<String, Optional<byte[]>> objects = name -> Optional.empty();
 
   ConfigHolder(String environment) {
     this.environment = environment;
   }
 
+  /** Sets where the values of other objects are found. */
+  void readObjectsFrom(Function<String, Optional<byte[]>> source) {
+    objects = source;
+  }
+
   void adoptDocument(byte[] value) throws JsonException {
     EnvironmentDocument read = Json.read(value, EnvironmentDocument.class);
     if (!environment.equals(read.environment())) {
@@ -53,6 +60,11 @@
     return drains;
   }
 
+  @Override
+  public Optional<byte[]> object(String name) {
+    return objects.apply(name);
+  }
+
   @Override
   public void onChange(Consumer<EnvironmentDocument> listener) {
     listeners.add(listener);
--- a/fleet/src/main/java/verbenahatch/fleet/ConfigView.java
+++ b/fleet/src/main/java/verbenahatch/fleet/ConfigView.java
@@ -27,4 +27,15 @@
    * @param listener the listener; must not block
    */
   void onChange(Consumer<EnvironmentDocument> listener);
+
+  /**
+   * Returns the newest value of an object that hosts spread among each other, such as {@code
+   * release/<service>}.
+   *
+   * @param name the name of the object
+   * @return the bytes, not to be changed; empty if no value is known
+   */
+  default Optional<byte[]> object(String name) {
+    return Optional.empty();
+  }
 }
--- a/fleet/src/main/java/verbenahatch/fleet/FleetNode.java
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetNode.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import verbenahatch.kernel.Clock;
@@ -60,6 +61,8 @@
     this.keys = new KeyTable(environment, this::isFresh);
     this.core = new FleetCore(self, clock, events, keys::apply);
     this.objects = new ObjectSpread(events, adopters(environment));
+    config.readObjectsFrom(
+        name -> Optional.ofNullable(objects.get(name)).map(ObjectSpread.Held::value));
     this.store = new StoreAccess(store, events);
     this.watcher = new StoreWatcher(core, objects, this.store);
     this.durable = new DurableWriter(core, objects, this.store, keys, environment, newIds);
--- a/fleet/src/main/java/verbenahatch/fleet/Rendezvous.java
+++ b/fleet/src/main/java/verbenahatch/fleet/Rendezvous.java
@@ -9,11 +9,18 @@
  * Assigns roles to members by rendezvous hashing: every host that sees the same candidates names
  * the same member, and a member that leaves moves only its own roles.
  */
-final class Rendezvous {
+public final class Rendezvous {
 
   private Rendezvous() {}
 
-  static Optional<Member> first(String role, Collection<Member> candidates) {
+  /**
+   * Names the member that has a role.
+   *
+   * @param role the name of the role
+   * @param candidates the members that may have it
+   * @return the member, empty if there is no candidate
+   */
+  public static Optional<Member> first(String role, Collection<Member> candidates) {
     return candidates.stream().min(order(role));
   }
 
--- a/release/src/main/java/verbenahatch/release/Releases.java
+++ b/release/src/main/java/verbenahatch/release/Releases.java
@@ -1,5 +1,7 @@
 package verbenahatch.release;
 
+import java.util.List;
+
 /** Splits traffic between versions and gathers evidence about them. Thread-safe. */
 public interface Releases {
 
@@ -24,4 +26,13 @@
    * @param latencyNanos the time to the first byte of the answer, in nanoseconds
    */
   void record(String service, String route, String version, boolean failed, long latencyNanos);
+
+  /**
+   * Returns the progress of every planned release.
+   *
+   * @return the releases in the order of the document
+   */
+  default List<ReleaseStatus> status() {
+    return List.of();
+  }
 }
