--- a/fleet/src/main/java/verbenahatch/fleet/Facts.java
+++ b/fleet/src/main/java/verbenahatch/fleet/Facts.java
@@ -26,7 +26,8 @@
   CompletableFuture<Spread> publish(Fact fact, Duration timeout);
 
   /**
-   * Calls a listener for each fact that becomes known.
+   * Calls a listener for each fact that is known and for each that becomes known; a fact that
+   * arrives during this call may be told twice.
    *
    * @param listener the listener; must not block
    */
--- a/fleet/src/main/java/verbenahatch/fleet/FleetCore.java
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetCore.java
@@ -72,8 +72,10 @@
     return record.contains(self.incarnation());
   }
 
+  /** Adds a listener and tells it the facts known so far, so that none is missed at the start. */
   void onFact(Consumer<Fact> listener) {
     factListeners.add(listener);
+    factsAfter(0, Integer.MAX_VALUE).forEach(listener);
   }
 
   void onChange(Consumer<List<Member>> listener) {
--- a/release/src/main/java/verbenahatch/release/RouteCounts.java
+++ b/release/src/main/java/verbenahatch/release/RouteCounts.java
@@ -10,7 +10,7 @@
  * @param oldFailures of these, how many failed
  * @param oldSlow of these, how many succeeded slowly
  */
-record RouteCounts(
+public record RouteCounts(
     long newRequests,
     long newFailures,
     long newSlow,
@@ -18,9 +18,16 @@
     long oldFailures,
     long oldSlow) {
 
-  static final RouteCounts NONE = new RouteCounts(0, 0, 0, 0, 0, 0);
+  /** No outcomes. */
+  public static final RouteCounts NONE = new RouteCounts(0, 0, 0, 0, 0, 0);
 
-  RouteCounts plus(RouteCounts other) {
+  /**
+   * Adds counts.
+   *
+   * @param other the counts to add
+   * @return the sums
+   */
+  public RouteCounts plus(RouteCounts other) {
     return new RouteCounts(
         newRequests + other.newRequests,
         newFailures + other.newFailures,
@@ -30,7 +37,13 @@
         oldSlow + other.oldSlow);
   }
 
-  RouteCounts minus(RouteCounts other) {
+  /**
+   * Subtracts counts.
+   *
+   * @param other the counts to subtract
+   * @return the differences
+   */
+  public RouteCounts minus(RouteCounts other) {
     return new RouteCounts(
         newRequests - other.newRequests,
         newFailures - other.newFailures,
--- a/release/src/main/java/verbenahatch/release/SequentialTest.java
+++ b/release/src/main/java/verbenahatch/release/SequentialTest.java
@@ -19,7 +19,7 @@
  * <p>The null hypothesis allows the new version a somewhat higher share of bad outcomes, because a
  * new version with cold caches is rightly a little slower.
  */
-final class SequentialTest {
+public final class SequentialTest {
 
   /**
    * Logarithm of the threshold 10^8. A route tested twice a second for 8 hours takes 57,600 steps,
@@ -36,13 +36,16 @@
   private final double[] failures = new double[THETAS.length];
   private final double[] slow = new double[THETAS.length];
 
+  /** Creates a test without evidence. */
+  public SequentialTest() {}
+
   /**
    * Adds the outcomes of one step.
    *
    * @param step what was counted since the last step
    * @return what is worse about the new version once that is significant, otherwise empty
    */
-  Optional<String> add(RouteCounts step) {
+  public Optional<String> add(RouteCounts step) {
     boolean failing =
         add(failures, step, step.newFailures(), step.oldFailures(), TOLERATED_FAILURE_ODDS);
     boolean slower = add(slow, step, step.newSlow(), step.oldSlow(), TOLERATED_SLOW_ODDS);
