--- a/fleet/src/main/java/verbenahatch/fleet/FleetCore.java
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetCore.java
@@ -197,7 +197,7 @@
       for (String incarnation : newer.removed()) {
         addLocked(new Fact.HostFenced(incarnation), added);
       }
-      MembersRecord old = record;
+      final MembersRecord old = record;
       record = newer;
       adoptedAt = clock.nanoTime();
       carried = freshness.carried(adoptedAt);
--- a/fleet/src/test/java/verbenahatch/fleet/FleetFailureTest.java
+++ b/fleet/src/test/java/verbenahatch/fleet/FleetFailureTest.java
@@ -182,7 +182,7 @@
     world.kill(1);
     world.kill(2);
     world.kill(6);
-    Duration removed = world.until(LIMIT, () -> world.members(6));
+    final Duration removed = world.until(LIMIT, () -> world.members(6));
     assertEquals(12, world.node(0).membersEpoch());
     world.start(1);
     world.start(2);
