--- a/bench/src/main/java/verbenahatch/measure/FleetMeasurement.java
+++ b/bench/src/main/java/verbenahatch/measure/FleetMeasurement.java
@@ -25,6 +25,9 @@
   private static final Duration LIMIT = Duration.ofSeconds(20);
   private static final int CHANGES = 20;
 
+  /** Messages lost while withdrawals spread; without loss all hosts know before acceptance. */
+  private static final double LOSS = 0.1;
+
   /** Budget of one host for control, from the target size of the design. */
   private static final double MAX_CORE_PERCENT = 4.4;
 
@@ -66,9 +69,7 @@
               configuration(fleet, random),
               "ms",
               MAX_CONFIGURATION_MILLIS));
-      figures.add(
-          Figure.atMost(
-              "withdrawal-in-force" + at, withdrawal(fleet, random), "ms", MAX_WITHDRAWAL_MILLIS));
+      addWithdrawals(figures, fleet, random, at);
     }
     addSlopes(figures, costs);
     return figures;
@@ -116,49 +117,48 @@
     return node.config().document().filter(d -> d.generation() >= generation).isPresent();
   }
 
-  private static double withdrawal(SimulatedFleet fleet, Random random) {
+  private static void addWithdrawals(
+      List<Figure> figures, SimulatedFleet fleet, Random random, String at) {
+    fleet.setLoss(LOSS);
+    double accepted = 0;
     double slowest = 0;
     for (int i = 0; i < CHANGES; i++) {
       fleet.run(Duration.ofMillis(random.nextInt(1_000)));
       String key = SimulatedFleet.key(i);
       Fact fact = new Fact.KeyWithdrawn(SimulatedFleet.ENV, KeyHash.of(key));
       FleetNode accepting = fleet.nodes().get(random.nextInt(fleet.nodes().size()));
-      var accepted = accepting.facts().publish(fact, LIMIT);
-      fleet.until(LIMIT, accepted::isDone);
-      slowest =
-          Math.max(
-              slowest,
-              fleet.until(
-                  LIMIT, () -> fleet.nodes().stream().allMatch(node -> isWithdrawn(node, key))));
+      var spread = accepting.facts().publish(fact, LIMIT);
+      accepted = Math.max(accepted, fleet.until(LIMIT, spread::isDone));
+      double late =
+          fleet.until(LIMIT, () -> fleet.nodes().stream().allMatch(node -> isWithdrawn(node, key)));
+      slowest = Math.max(slowest, late);
     }
-    return slowest;
+    long epoch = fleet.nodes().stream().mapToLong(FleetNode::membersEpoch).max().orElse(0);
+    figures.add(Figure.atMost("hosts-fenced-10%-loss" + at, epoch - 1, "changes", 0));
+    figures.add(Figure.info("withdrawal-accepted-10%-loss" + at, accepted, "ms"));
+    figures.add(
+        Figure.atMost("withdrawal-in-force-10%-loss" + at, slowest, "ms", MAX_WITHDRAWAL_MILLIS));
   }
 
   private static boolean isWithdrawn(FleetNode node, String key) {
     return node.keys().check(key) instanceof KeyCheck.Withdrawn;
   }
 
+  /** Adds slopes per host, apart for sizes below and above the threshold of aggregators. */
   private static void addSlopes(List<Figure> figures, List<Cost> costs) {
-    figures.add(slope("pulse-bytes", costs.stream().map(Cost::bytes).toList(), "bytes/s/host"));
-    figures.add(slope("pulse-cpu", costs.stream().map(Cost::cpu).toList(), "%core/host"));
-    figures.add(
-        slope("fleet-store-calls", costs.stream().map(Cost::storeCalls).toList(), "calls/s"));
-  }
-
-  /** Fits a line over all sizes by least squares. */
-  private static Figure slope(String name, List<Double> values, String unit) {
-    double meanSize = 0;
-    double meanValue = 0;
-    for (int i = 0; i < SIZES.length; i++) {
-      meanSize += (double) SIZES[i] / SIZES.length;
-      meanValue += values.get(i) / SIZES.length;
-    }
-    double above = 0;
-    double below = 0;
-    for (int i = 0; i < SIZES.length; i++) {
-      above += (SIZES[i] - meanSize) * (values.get(i) - meanValue);
-      below += (SIZES[i] - meanSize) * (SIZES[i] - meanSize);
+    for (int i = 0; i + 1 < SIZES.length; i += 2) {
+      Cost small = costs.get(i);
+      Cost large = costs.get(i + 1);
+      int hosts = SIZES[i + 1] - SIZES[i];
+      String between = "-slope-" + SIZES[i] + "-" + SIZES[i + 1] + "-hosts";
+      figures.add(
+          Figure.info("pulse-bytes" + between, (large.bytes - small.bytes) / hosts, "bytes/s"));
+      figures.add(
+          Figure.info("pulse-bytes-most" + between, (large.most - small.most) / hosts, "bytes/s"));
+      figures.add(Figure.info("pulse-cpu" + between, (large.cpu - small.cpu) / hosts, "%core"));
     }
-    return Figure.info(name + "-slope", above / below, unit + "/host");
+    double calls = costs.get(SIZES.length - 1).storeCalls / costs.get(0).storeCalls;
+    // Store calls must not grow in proportion to hosts; the zones are the same at every size.
+    figures.add(Figure.atMost("fleet-store-calls-ratio-72-to-9-hosts", calls, "ratio", 1.5));
   }
 }
--- a/bench/src/main/java/verbenahatch/measure/SimulatedFleet.java
+++ b/bench/src/main/java/verbenahatch/measure/SimulatedFleet.java
@@ -145,6 +145,11 @@
     store.put(name, value, old.isOk() ? old.get().version() : 0, "write" + ids++);
   }
 
+  /** Loses messages from now on with a probability from 0 to 1. */
+  void setLoss(double probability) {
+    network.setLoss(probability);
+  }
+
   void run(Duration time) {
     network.advance(time);
   }
--- a/fleet/src/main/java/verbenahatch/fleet/PulseAnswerer.java
+++ b/fleet/src/main/java/verbenahatch/fleet/PulseAnswerer.java
@@ -28,10 +28,12 @@
   static final int FACTS_PER_ANSWER = 4_000;
 
   private static final int MAX_LAG = 7;
-  private static final long NANOS_PER_MILLI = 1_000_000;
 
-  /** Contacts older than this are reported as none; they can make no host fresh. */
-  private static final long MAX_AGE_MILLIS = 60_000;
+  /** Unit of reported ages; a finer one would need more than a byte per member. */
+  static final long AGE_UNIT_NANOS = 16_000_000;
+
+  /** Largest code of an age, 4 s; older contacts make no host fresh and are reported as none. */
+  private static final int MAX_AGE_CODE = 255;
 
   private final FleetCore core;
   private final ObjectSpread objects;
@@ -48,29 +50,31 @@
 
   void register(PeerLink link) {
     link.handle(
-        MessageKind.PULSE, handler(body -> answer(PulsePoll.parseFrom(body)).toByteArray()));
+        MessageKind.PULSE,
+        handler((sender, body) -> answer(sender, PulsePoll.parseFrom(body)).toByteArray()));
     link.handle(
-        MessageKind.PUSH_FACTS, handler(body -> push(PushFacts.parseFrom(body)).toByteArray()));
+        MessageKind.PUSH_FACTS,
+        handler((sender, body) -> push(PushFacts.parseFrom(body)).toByteArray()));
     link.handle(
         MessageKind.FETCH_OBJECT,
-        handler(body -> fetch(FetchObject.parseFrom(body)).toByteArray()));
+        handler((sender, body) -> fetch(FetchObject.parseFrom(body)).toByteArray()));
   }
 
   private interface Step {
-    byte[] run(byte[] body) throws InvalidProtocolBufferException;
+    byte[] run(String sender, byte[] body) throws InvalidProtocolBufferException;
   }
 
   private static PeerHandler handler(Step step) {
     return (sender, body) -> {
       try {
-        return CompletableFuture.completedFuture(step.run(body));
+        return CompletableFuture.completedFuture(step.run(sender, body));
       } catch (InvalidProtocolBufferException e) {
         return CompletableFuture.failedFuture(e);
       }
     };
   }
 
-  PulseAnswer answer(PulsePoll poll) {
+  PulseAnswer answer(String sender, PulsePoll poll) {
     if (!poll.getMembers().isEmpty()) {
       readMembers(poll.getMembers()).ifPresent(core::adopt);
     }
@@ -79,17 +83,17 @@
     }
     // Contacts are read before facts: facts implied by a reported contact are then in the answer.
     synchronized (core) {
-      return build(poll);
+      return build(sender, poll);
     }
   }
 
-  private PulseAnswer build(PulsePoll poll) {
+  private PulseAnswer build(String sender, PulsePoll poll) {
     Member self = core.self();
     MembersRecord record = core.record();
     boolean known = poll.getLog().equals(self.incarnation());
     long cursor = known ? poll.getCursor() : 0;
     if (known && poll.getMembersEpoch() <= record.epoch()) {
-      core.noteHeld(poll.getIncarnation(), cursor);
+      core.noteHeld(sender, cursor);
     }
     List<Fact> facts = core.factsAfter(cursor, FACTS_PER_ANSWER);
     PulseAnswer.Builder answer =
@@ -122,15 +126,18 @@
     if (scope == ContactScope.CONTACT_SCOPE_NONE) {
       return;
     }
-    List<Integer> states = new ArrayList<>(record.members().size());
+    byte[] ages = new byte[record.members().size()];
+    List<Integer> states = new ArrayList<>(ages.length);
     boolean anyState = false;
-    for (Member member : record.members()) {
+    for (int i = 0; i < ages.length; i++) {
+      Member member = record.members().get(i);
       boolean wanted = scope == ContactScope.CONTACT_SCOPE_ALL || member.zone().equals(self.zone());
-      answer.addAges(wanted ? ageCode(member) : 0);
-      int state = wanted ? stateCode(member, record.epoch()) : 0;
+      ages[i] = (byte) (wanted ? ageCode(member) : 0);
+      int state = ages[i] == 0 ? 0 : stateCode(member, record.epoch());
       states.add(state);
       anyState |= state != 0;
     }
+    answer.setAges(ByteString.copyFrom(ages));
     if (anyState) {
       answer.addAllStates(states);
     }
@@ -140,10 +147,9 @@
     if (core.isReplaced(member.incarnation())) {
       return 1;
     }
-    long age = core.ageNanos(member.incarnation());
     // Rounded up, so that a contact never looks younger than it is.
-    long millis = age / NANOS_PER_MILLI + 1;
-    return millis > MAX_AGE_MILLIS ? 0 : (int) millis + 2;
+    long units = core.ageNanos(member.incarnation()) / AGE_UNIT_NANOS + 1;
+    return units > MAX_AGE_CODE - 2 ? 0 : (int) units + 2;
   }
 
   private int stateCode(Member member, long epoch) {
--- a/fleet/src/main/java/verbenahatch/fleet/PulsePoller.java
+++ b/fleet/src/main/java/verbenahatch/fleet/PulsePoller.java
@@ -27,8 +27,6 @@
   /** Polls of one peer that may wait for an answer at once. */
   private static final int MAX_PENDING = 4;
 
-  private static final long NANOS_PER_MILLI = 1_000_000;
-
   /** What this host remembers of one peer. */
   private static final class Peer {
     private long cursor;
@@ -101,7 +99,6 @@
     MembersRecord record = core.record();
     PulsePoll.Builder poll =
         PulsePoll.newBuilder()
-            .setIncarnation(core.self().incarnation())
             .setLog(member.incarnation())
             .setMembersEpoch(record.epoch())
             .setObjectsDigest(objects.digest())
@@ -174,8 +171,8 @@
     Map<String, ContactTable.Contact> seen = new HashMap<>();
     MembersRecord record = core.record();
     if (answer.getMembersEpoch() == record.epoch()
-        && answer.getAgesCount() == record.members().size()) {
-      for (int i = 0; i < answer.getAgesCount(); i++) {
+        && answer.getAges().size() == record.members().size()) {
+      for (int i = 0; i < answer.getAges().size(); i++) {
         addReported(seen, record.members().get(i), i, sentAt, answer);
       }
     }
@@ -192,7 +189,7 @@
       int index,
       long sentAt,
       PulseAnswer answer) {
-    int code = answer.getAges(index);
+    int code = Byte.toUnsignedInt(answer.getAges().byteAt(index));
     if (code == 0) {
       return;
     }
@@ -205,7 +202,7 @@
     seen.put(
         member.incarnation(),
         new ContactTable.Contact(
-            sentAt - (code - 2) * NANOS_PER_MILLI,
+            sentAt - (code - 2) * PulseAnswerer.AGE_UNIT_NANOS,
             PulseAnswerer.epochOf(epoch, state >> 1 & 7),
             PulseAnswerer.epochOf(epoch, state >> 4 & 7),
             (state & 1) != 0));
