Run submissions at most once by tickets and by claims in the store

Cause: a repeated order through another host, or after a lost answer, could run twice. A claim is given back only when the request certainly did not run.

--- a/gateway/src/main/java/verbenahatch/gateway/Attempt.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Attempt.java
@@ -104,6 +104,10 @@
     if (workspace != null) {
       headers.put(HeaderNames.WORKSPACE, workspace);
     }
+    Submissions.Submission submission = exchange.submission();
+    if (submission != null) {
+      headers.put(HeaderNames.SUBMISSION, submission.id());
+    }
     if (own) {
       headers.put(HttpHeader.CONNECTION, "close");
     }
--- a/gateway/src/main/java/verbenahatch/gateway/DataPath.java
+++ b/gateway/src/main/java/verbenahatch/gateway/DataPath.java
@@ -29,6 +29,7 @@
   private final Targets targets;
   private final PlaceQueues queues;
   private final Scheduler timer;
+  private final Submissions submissions;
   private final RetryBudget retries = new RetryBudget(RETRY_RATIO, RETRY_RESERVE);
   private final RunningRequests running = new RunningRequests();
   private final Counter requests;
@@ -37,10 +38,15 @@
   private volatile RouteTable routes = new RouteTable(List.of());
 
   DataPath(
-      GatewayContext context, TargetClient client, Scheduler timer, PrometheusRegistry metrics) {
+      GatewayContext context,
+      TargetClient client,
+      Scheduler timer,
+      Submissions submissions,
+      PrometheusRegistry metrics) {
     this.context = context;
     this.client = client;
     this.timer = timer;
+    this.submissions = submissions;
     this.targets = new Targets(context);
     this.queues = new PlaceQueues(context.clock(), this::weight);
     this.requests =
@@ -109,6 +115,10 @@
     return queues;
   }
 
+  Submissions submissions() {
+    return submissions;
+  }
+
   Scheduler timer() {
     return timer;
   }
--- a/gateway/src/main/java/verbenahatch/gateway/Exchange.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Exchange.java
@@ -13,6 +13,9 @@
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.fleet.KeyCheck;
+import verbenahatch.gateway.submission.Claim;
+import verbenahatch.gateway.submission.ClaimResult;
+import verbenahatch.gateway.submission.Settlement;
 import verbenahatch.limits.Admission;
 import verbenahatch.model.EnvironmentDocument;
 import verbenahatch.model.EnvironmentDocument.Access;
@@ -58,6 +61,9 @@
   private String version = "";
   private long deadlineNanos;
   private @Nullable CallerContent content;
+  private Submissions.@Nullable Submission submission;
+  private volatile @Nullable Claim claim;
+  private int runStatus;
 
   Exchange(DataPath path, Request request, Response response, Callback callback) {
     this.path = path;
@@ -102,6 +108,12 @@
       refuse(Refusal.BAD_REQUEST);
       return;
     }
+    if (!Submissions.isValid(request.getHeaders())) {
+      refuse(Refusal.BAD_REQUEST);
+      return;
+    }
+    // A request that may run twice without harm needs no claim.
+    submission = found.idempotent() ? null : Submissions.read(request.getHeaders());
     if (millis <= 0) {
       refuse(Refusal.DEADLINE_UNREACHABLE);
       return;
@@ -188,6 +200,13 @@
     watch.set(CallerWatch.begin(request, this::onCallerGone));
   }
 
+  private void settle(Outcome outcome, int status) {
+    Claim held = claim;
+    if (held != null) {
+      held.settle(Settlement.valueOf(outcome.name()), status);
+    }
+  }
+
   private void endWatch() {
     CallerWatch watching = watch.getAndSet(null);
     if (watching != null) {
@@ -203,6 +222,36 @@
 
   @Override
   public void placed(Place place) {
+    Submissions.Submission submitted = submission;
+    if (submitted == null || claim != null) {
+      attempt(place);
+      return;
+    }
+    path.submissions()
+        .claim(submitted, workspace, deadlineNanos)
+        .thenAccept(result -> claimed(place, result))
+        .exceptionally(this::internal);
+  }
+
+  private void claimed(Place place, ClaimResult result) {
+    if (result instanceof ClaimResult.Granted granted) {
+      claim = granted.claim();
+      if (callerGone) {
+        place.release();
+        refuse(Refusal.DEADLINE_UNREACHABLE);
+        return;
+      }
+      attempt(place);
+      return;
+    }
+    place.release();
+    if (result instanceof ClaimResult.AlreadyRun ran && ran.status() > 0) {
+      runStatus = ran.status();
+    }
+    refuse(Submissions.refusalOf(result));
+  }
+
+  private void attempt(Place place) {
     attempts++;
     tried.add(place.target().target().id());
     Attempt next = new Attempt(this, place);
@@ -237,6 +286,10 @@
     if (callerGone || context.clock().nanoTime() - deadlineNanos >= 0) {
       return Refusal.DEADLINE_UNREACHABLE;
     }
+    Claim held = claim;
+    if (held != null && !held.isHeld(context.clock().nanoTime())) {
+      return Refusal.DEADLINE_UNREACHABLE;
+    }
     String hash = keyHash;
     if (hash == null) {
       return null;
@@ -306,6 +359,10 @@
     return key;
   }
 
+  Submissions.@Nullable Submission submission() {
+    return submission;
+  }
+
   @Nullable String workspace() {
     return workspace;
   }
@@ -330,7 +387,8 @@
     if (finished.compareAndSet(false, true)) {
       endWatch();
       path.count(routeFoundOrNull(), refusal);
-      Refusals.write(response, path.leaving(callback), refusal, retryAfterMillis);
+      settle(refusal.outcome(), 0);
+      Refusals.write(response, path.leaving(callback), refusal, retryAfterMillis, runStatus);
     }
   }
 
@@ -342,6 +400,7 @@
   void finish() {
     if (finished.compareAndSet(false, true)) {
       endWatch();
+      settle(Outcome.RUN, response.getStatus());
       path.leaving(callback).succeeded();
     }
   }
@@ -350,6 +409,7 @@
   void breakOff(Throwable cause) {
     if (finished.compareAndSet(false, true)) {
       endWatch();
+      settle(Outcome.UNKNOWN, 0);
       path.leaving(callback).failed(cause);
     }
   }
--- a/gateway/src/main/java/verbenahatch/gateway/GatewayContext.java
+++ b/gateway/src/main/java/verbenahatch/gateway/GatewayContext.java
@@ -7,7 +7,9 @@
 import verbenahatch.kernel.Events;
 import verbenahatch.limits.Limits;
 import verbenahatch.model.Settings;
+import verbenahatch.peer.PeerLink;
 import verbenahatch.release.Releases;
+import verbenahatch.store.ObjectStore;
 
 /**
  * Gathers what the data path uses from other modules.
@@ -18,6 +20,8 @@
  * @param keys callers' keys
  * @param limits shared limits
  * @param releases versions and evidence
+ * @param peers the link to other hosts
+ * @param store the platform's object API
  * @param clock the clock of the process
  * @param events the log of the process
  */
@@ -28,5 +32,7 @@
     Keys keys,
     Limits limits,
     Releases releases,
+    PeerLink peers,
+    ObjectStore store,
     Clock clock,
     Events events) {}
--- a/gateway/src/main/java/verbenahatch/gateway/GatewayPlugin.java
+++ b/gateway/src/main/java/verbenahatch/gateway/GatewayPlugin.java
@@ -50,6 +50,8 @@
             kernel.require(Keys.class),
             kernel.require(Limits.class),
             kernel.require(Releases.class),
+            kernel.require(PeerLink.class),
+            kernel.require(ObjectStore.class),
             kernel.clock(),
             kernel.events());
     try {
--- a/gateway/src/main/java/verbenahatch/gateway/GatewayServer.java
+++ b/gateway/src/main/java/verbenahatch/gateway/GatewayServer.java
@@ -45,6 +45,7 @@
   private final Scheduler timer = new ScheduledExecutorScheduler("gateway-timer", true);
   private final ServerConnector connector;
   private final TargetClient client;
+  private final Submissions submissions;
   private final DataPath path;
   private final EntryAdvice advice;
   private final LoadReports reports;
@@ -77,7 +78,8 @@
     server.addConnector(connector);
     client = new TargetClient(threads, timer, buffers);
     client.keepMessagesUnchanged();
-    path = new DataPath(context, client, timer, metrics);
+    submissions = new Submissions(context);
+    path = new DataPath(context, client, timer, submissions, metrics);
     advice = new EntryAdvice(context);
     server.setHandler(new Entrance());
     server.setErrorHandler(new MalformedRequests());
@@ -102,8 +104,11 @@
   private final class Entrance extends Handler.Abstract.NonBlocking {
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
-      if (EntryAdvice.PATH.equals(request.getHttpURI().getCanonicalPath())) {
+      String canonicalPath = request.getHttpURI().getCanonicalPath();
+      if (EntryAdvice.PATH.equals(canonicalPath)) {
         advice.handle(request, response, callback);
+      } else if (Submissions.TICKET_PATH.equals(canonicalPath)) {
+        submissions.handle(request, response, callback);
       } else {
         path.handle(request, response, callback);
       }
@@ -177,6 +182,7 @@
     try {
       path.tick();
       reports.tick();
+      submissions.purge();
     } finally {
       timer.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
     }
@@ -203,6 +209,7 @@
     // Server and client share threads and timer, so neither stops them.
     server.stop();
     client.close();
+    submissions.close();
     timer.stop();
     threads.stop();
   }
--- a/gateway/src/main/java/verbenahatch/gateway/HeaderNames.java
+++ b/gateway/src/main/java/verbenahatch/gateway/HeaderNames.java
@@ -29,6 +29,9 @@
   /** Carries the caller's own key for a submission. */
   public static final String IDEMPOTENCY_KEY = "Idempotency-Key";
 
+  /** Tells a caller the HTTP status of an earlier run of its submission. */
+  public static final String RUN_STATUS = "Verbenahatch-Run-Status";
+
   /** Tells a caller the code of a refusal. */
   public static final String REASON = "Verbenahatch-Reason";
 
--- a/gateway/src/main/java/verbenahatch/gateway/Refusal.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Refusal.java
@@ -49,6 +49,18 @@
   /** The deadline passed after a byte may have been sent. */
   DEADLINE_EXCEEDED(
       "deadline-exceeded", 504, Outcome.UNKNOWN, "The target did not answer by the deadline."),
+  /** The ticket is not genuine, or of another workspace. */
+  TICKET_INVALID("ticket-invalid", 400, Outcome.NOT_RUN, "The ticket is not valid here."),
+  /** The ticket is too old and was never used. */
+  TICKET_EXPIRED("ticket-expired", 410, Outcome.NOT_RUN, "The ticket was not used in time."),
+  /** The submission ran before this request. */
+  ALREADY_RUN("already-run", 409, Outcome.RUN, "The submission ran already."),
+  /** The submission may have run before this request. */
+  SUBMISSION_UNKNOWN(
+      "submission-unknown", 409, Outcome.UNKNOWN, "The submission may have run already."),
+  /** The claim by idempotency key cannot be made now. */
+  CLAIM_UNAVAILABLE(
+      "claim-unavailable", 503, Outcome.NOT_RUN, "The submission cannot be claimed now."),
   /** The gateway failed before a byte was sent. */
   INTERNAL("internal-error", 500, Outcome.NOT_RUN, "The host failed to handle the request.");
 
--- a/gateway/src/main/java/verbenahatch/gateway/Refusals.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Refusals.java
@@ -21,6 +21,18 @@
    * @param retryAfterMillis when a retry may help, in milliseconds, 0 if unknown
    */
   static void write(Response response, Callback callback, Refusal refusal, long retryAfterMillis) {
+    write(response, callback, refusal, retryAfterMillis, 0);
+  }
+
+  /**
+   * Writes a refusal and completes the exchange.
+   *
+   * @param refusal why
+   * @param retryAfterMillis when a retry may help, in milliseconds, 0 if unknown
+   * @param runStatus the HTTP status of an earlier run, 0 if there was none
+   */
+  static void write(
+      Response response, Callback callback, Refusal refusal, long retryAfterMillis, int runStatus) {
     if (response.isCommitted()) {
       callback.failed(new IllegalStateException(refusal.code()));
       return;
@@ -31,6 +43,9 @@
     response.getHeaders().put(HeaderNames.OUTCOME, refusal.outcome().text());
     response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
     response.getHeaders().put(HttpHeader.CACHE_CONTROL, "no-store");
+    if (runStatus > 0) {
+      response.getHeaders().put(HeaderNames.RUN_STATUS, runStatus);
+    }
     if (refusal.status() == 401) {
       response.getHeaders().put(HttpHeader.WWW_AUTHENTICATE, "Bearer");
     }
