Advise entry hosts by client block; mark the host as leaving in a graceful stop

Cause: advice ordered hosts by this host's region, not the caller's, and other hosts went on advising a host that stops. Change: EntryAdvice finds the caller's region in the block table of the document; beginDrain marks the member as leaving. Tests cover both and a stop while a request runs.

--- a/gateway/src/main/java/verbenahatch/gateway/EntryAdvice.java
+++ b/gateway/src/main/java/verbenahatch/gateway/EntryAdvice.java
@@ -15,7 +15,11 @@
 import verbenahatch.fleet.Member;
 import verbenahatch.kernel.Json;
 import verbenahatch.model.EnvironmentDocument;
+import verbenahatch.model.EnvironmentDocument.ClientBlock;
 import verbenahatch.model.EnvironmentDocument.Link;
+import verbenahatch.model.EnvironmentDocument.Region;
+import verbenahatch.routing.Block;
+import verbenahatch.routing.BlockTable;
 
 /** Answers {@code GET /v1/entry}: which hosts a caller should use. */
 final class EntryAdvice {
@@ -24,10 +28,50 @@
   static final String PATH = "/v1/entry";
 
   private final GatewayContext context;
+  private volatile Clients clients = new Clients(List.of(), List.of(), BlockTable.EMPTY);
   private volatile boolean leaving;
 
   EntryAdvice(GatewayContext context) {
     this.context = context;
+    context.config().document().ifPresent(this::update);
+    context.config().onChange(this::update);
+  }
+
+  /**
+   * Holds what a document says about clients.
+   *
+   * @param clients the blocks that the table was built from
+   * @param regions the regions; the site of a region is its index plus one
+   * @param blocks the table
+   */
+  private record Clients(List<ClientBlock> clients, List<String> regions, BlockTable blocks) {}
+
+  private synchronized void update(EnvironmentDocument document) {
+    List<String> regions = document.regions().stream().map(Region::name).toList();
+    Clients old = clients;
+    if (document.clients().equals(old.clients()) && regions.equals(old.regions())) {
+      return;
+    }
+    List<Block> blocks = new ArrayList<>();
+    for (ClientBlock client : document.clients()) {
+      blocks.add(Block.parse(client.block(), regions.indexOf(client.region()) + 1));
+    }
+    clients = new Clients(document.clients(), regions, BlockTable.of(blocks));
+  }
+
+  /**
+   * Finds the region nearest to a caller.
+   *
+   * @param address the caller's IP number
+   * @return the region of its block, the own region if no block has it
+   */
+  private String nearestRegion(String address) {
+    Clients now = clients;
+    if (address.indexOf(':') >= 0) {
+      return context.settings().region();
+    }
+    int site = now.blocks().siteOf(Block.parseAddress(address));
+    return site == 0 ? context.settings().region() : now.regions().get(site - 1);
   }
 
   /**
@@ -73,7 +117,7 @@
   }
 
   Advice advise(String clientAddress) {
-    String near = context.settings().region();
+    String near = nearestRegion(clientAddress);
     Drains drains = context.config().drains();
     Map<String, Double> distance = distances(near);
     List<Member> members = new ArrayList<>();
--- a/gateway/src/main/java/verbenahatch/gateway/GatewayServer.java
+++ b/gateway/src/main/java/verbenahatch/gateway/GatewayServer.java
@@ -144,9 +144,10 @@
     return path.running().count();
   }
 
-  /** Drops this host from entry advice; requests are still served. */
+  /** Drops this host from the entry advice of all hosts; requests are still served. */
   public void beginDrain() {
     advice.leave();
+    context.fleet().markLeaving();
     context.events().log(GatewayEvent.LEAVING, running());
   }
 
--- a/gateway/src/test/java/verbenahatch/gateway/CallerConnectionTest.java
+++ b/gateway/src/test/java/verbenahatch/gateway/CallerConnectionTest.java
@@ -165,7 +165,7 @@
     gateway.target(
         new ScriptedTarget(
             (head, socket) -> {
-              awaitQuietly(go);
+              ScriptedTarget.await(go);
               socket.getInputStream().skipNBytes(size);
               return ScriptedTarget.write(socket, ScriptedTarget.ok(head, "stored"));
             },
@@ -189,14 +189,6 @@
     }
   }
 
-  private static void awaitQuietly(CountDownLatch latch) {
-    try {
-      latch.await();
-    } catch (InterruptedException e) {
-      Thread.currentThread().interrupt();
-    }
-  }
-
   private static void write(Socket socket, int size) {
     byte[] part = new byte[64 * 1024];
     try {
@@ -216,7 +208,7 @@
         new ScriptedTarget(
             (head, socket) -> {
               full.countDown();
-              awaitQuietly(go);
+              ScriptedTarget.await(go);
               return ScriptedTarget.write(socket, ScriptedTarget.ok(head, "done"));
             }),
         "dakar");
--- a/gateway/src/test/java/verbenahatch/gateway/Fakes.java
+++ b/gateway/src/test/java/verbenahatch/gateway/Fakes.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -88,11 +89,11 @@
   static final class FakeConfig implements ConfigView {
     volatile @Nullable EnvironmentDocument document;
     volatile Drains drains = Drains.NONE;
-    private volatile Consumer<EnvironmentDocument> listener = document -> {};
+    private final List<Consumer<EnvironmentDocument>> listeners = new CopyOnWriteArrayList<>();
 
     void adopt(EnvironmentDocument next) {
       document = next;
-      listener.accept(next);
+      listeners.forEach(listener -> listener.accept(next));
     }
 
     @Override
@@ -107,7 +108,7 @@
 
     @Override
     public void onChange(Consumer<EnvironmentDocument> next) {
-      listener = next;
+      listeners.add(next);
     }
   }
 
--- a/gateway/src/test/java/verbenahatch/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/verbenahatch/gateway/GatewayFixture.java
@@ -35,6 +35,7 @@
   final Fakes.FakeLimits limits = new Fakes.FakeLimits();
   final Fakes.FakeReleases releases = new Fakes.FakeReleases();
   final List<Target> targets = new ArrayList<>();
+  volatile List<EnvironmentDocument.ClientBlock> clients = List.of();
   final GatewayServer server;
   final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
@@ -102,7 +103,7 @@
             route("orders", List.of("POST"), "/orders", Access.KEYED, false)),
         List.of(new Workspace("ateliers", 100, 10, 1)),
         List.of(),
-        List.of());
+        clients);
   }
 
   private static Route route(
--- a/gateway/src/test/java/verbenahatch/gateway/GatewayServerTest.java
+++ b/gateway/src/test/java/verbenahatch/gateway/GatewayServerTest.java
@@ -10,7 +10,9 @@
 import java.net.http.HttpRequest.BodyPublishers;
 import java.net.http.HttpResponse;
 import java.net.http.HttpResponse.BodyHandlers;
+import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.AfterEach;
@@ -18,6 +20,7 @@
 import org.junit.jupiter.api.Test;
 import verbenahatch.fleet.KeyCheck;
 import verbenahatch.limits.Admission;
+import verbenahatch.model.EnvironmentDocument;
 
 /** Guards the path of a request and each promise of its outcome. */
 class GatewayServerTest {
@@ -238,4 +241,49 @@
     assertFalse(gateway.send(gateway.request("/v1/entry")).body().contains("entry-1"));
     assertEquals(200, gateway.send(gateway.keyed("/proofs")).statusCode());
   }
+
+  @Test
+  void entryAdviceNamesHostsNearestToTheClientsBlockFirst() throws Exception {
+    gateway.fleet.members =
+        List.of(gateway.fleet.self(), Fakes.FakeFleet.member("entry-2", "thies", 2));
+    gateway.clients = List.of(new EnvironmentDocument.ClientBlock("127.0.0.0/8", "thies"));
+    gateway.target(ScriptedTarget.answering("x"), "dakar");
+    String advice = gateway.send(gateway.request("/v1/entry")).body();
+    assertTrue(advice.indexOf("entry-2") < advice.indexOf("entry-1"), advice);
+    gateway.fleet.lost.add("entry-2-1");
+    assertFalse(gateway.send(gateway.request("/v1/entry")).body().contains("entry-2"));
+  }
+
+  @Test
+  void gracefulStopServesUntilTheAdviceLapsesAndFinishesWhatRuns() throws Exception {
+    CountDownLatch arrived = new CountDownLatch(1);
+    CountDownLatch go = new CountDownLatch(1);
+    gateway.target(
+        new ScriptedTarget(
+            (head, socket) -> {
+              if (head.contains("/slow")) {
+                arrived.countDown();
+                ScriptedTarget.await(go);
+              }
+              return ScriptedTarget.write(socket, ScriptedTarget.ok(head, "done"));
+            }),
+        "dakar");
+    CompletableFuture<HttpResponse<String>> slow =
+        gateway.http.sendAsync(gateway.keyed("/proofs/slow").build(), BodyHandlers.ofString());
+    assertTrue(arrived.await(5, TimeUnit.SECONDS));
+    CompletableFuture<Void> stopping =
+        CompletableFuture.runAsync(
+            () -> {
+              try {
+                gateway.server.stopGracefully();
+              } catch (Exception e) {
+                throw new IllegalStateException(e);
+              }
+            });
+    GatewayFixture.until(gateway.server::isDraining);
+    assertEquals("done", gateway.send(gateway.keyed("/proofs/new")).body());
+    go.countDown();
+    assertEquals("done", slow.get(5, TimeUnit.SECONDS).body());
+    stopping.get(10, TimeUnit.SECONDS);
+  }
 }
--- a/gateway/src/test/java/verbenahatch/gateway/ScriptedTarget.java
+++ b/gateway/src/test/java/verbenahatch/gateway/ScriptedTarget.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Queue;
 import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
 
@@ -58,6 +59,15 @@
     return true;
   }
 
+  /** Waits for a test to go on. */
+  static void await(CountDownLatch latch) {
+    try {
+      latch.await();
+    } catch (InterruptedException e) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   static String ok(String head, String body) {
     return "HTTP/1.1 200 OK\r\n"
         + "Verbenahatch-Request-Id: "
