--- a/bench/src/main/java/verbenahatch/measure/ReleaseMeasurement.java
+++ b/bench/src/main/java/verbenahatch/measure/ReleaseMeasurement.java
@@ -48,7 +48,7 @@
         long trialSeed = seed + 100L * kind.ordinal() + i;
         ReleaseTrial.Outcome outcome =
             new ReleaseTrial(services.get(i % services.size()), kind, trialSeed).run();
-        String name = prefix + name(kind) + "-" + (i + 1);
+        String name = prefix + kindName(kind) + "-" + (i + 1);
         figures.add(Figure.info(name + "-harmed", outcome.harmedShare() * 100, "percent"));
         figures.add(
             Figure.info(
@@ -68,7 +68,7 @@
     addGood(figures, prefix, services, seed);
   }
 
-  private static String name(VersionModel.Kind kind) {
+  private static String kindName(VersionModel.Kind kind) {
     return kind.name().toLowerCase(Locale.ROOT).replace('_', '-');
   }
 
