Expect TLC's own error code in the broken variants of the sharing model

Cause: three variants failed with 'expected 12 but was 2110'. TLC.process() returns the error code; 12 is the exit status that TLC's main method derives from it. The counterexamples were found all along. Change: the test expects 2110, an invariant violated by a behaviour. This is stricter than exit status 12, which also stands for other violations.

--- a/limits/src/test/java/verbenahatch/limits/SharesModelTest.java
+++ b/limits/src/test/java/verbenahatch/limits/SharesModelTest.java
@@ -15,7 +15,10 @@
 class SharesModelTest {
 
   private static final int SUCCESS = 0;
-  private static final int SAFETY_VIOLATION = 12;
+
+  /** TLC's error code for an invariant violated by a behaviour (not by the initial state). */
+  private static final int INVARIANT_VIOLATED = 2110;
+
   private static final Path MODELS = Path.of("src", "test", "tla");
 
   /**
@@ -26,9 +29,9 @@
   @CsvSource({
     "Shares, all mechanisms, 0",
     "SharesExchange, all mechanisms, 0",
-    "Shares, WaitsForLapse, 12",
-    "Shares, ClosesEpoch, 12",
-    "SharesExchange, StoresAnswer, 12"
+    "Shares, WaitsForLapse, 2110",
+    "Shares, ClosesEpoch, 2110",
+    "SharesExchange, StoresAnswer, 2110"
   })
   void neverAboveTotal(String configuration, String broken, int expected, @TempDir Path directory)
       throws Exception {
@@ -39,7 +42,7 @@
     Files.writeString(config, text.replace(broken + " = TRUE", broken + " = FALSE"));
     int result = check(module, config, directory.resolve("states"));
     assertEquals(expected, result, expected == SUCCESS ? "violated" : "no counterexample");
-    assertEquals(expected == SAFETY_VIOLATION, !broken.equals("all mechanisms"));
+    assertEquals(expected == INVARIANT_VIOLATED, !broken.equals("all mechanisms"));
   }
 
   /** Runs the checker in this process; a class loader of its own keeps its static state apart. */
