Add the administration API

Operators had no way to change a fleet. AdminPlugin serves documents (read, validate, diff, put, promote), keys, drains, releases and the state of a host on the admin endpoint, with operator tokens. Changes name the generation that the caller saw; another current one gives a conflict that names it. Withdrawals and take-backs are published as facts first, so they work while the store is down; without a majority the status is 202. A store that was restored to an older state is written over above the generation in force.

Each mechanism was broken once, and AdminApiTest was seen to fail: - credentials not checked: refusesUnknownCredentials - generation not compared: namesCurrentGenerationInConflict - generation in force ignored: writesAboveGenerationInForce - seenFrom not compared: promotesSeenDocument - no fact on withdrawal: issuesAndWithdrawsKeys, withdrawsWhileStoreIsDown - no record on withdrawal: issuesAndWithdrawsKeys - status 200 without a majority: reportsWithdrawalWithoutMajority - environment of the path not checked: listsEveryFault - unsettled taken as unavailable: reportsUnsettledChange - drain generation, unknown name: drainsAndUndrains - readiness not reported: isReadyOnlyWithDocument - take-back publishes nothing: startsAndTakesBackRelease - watch that does not wait: not caught at first; startsAndTakesBackRelease now checks the wait and fails

--- /dev/null
+++ b/admin/src/test/java/verbenahatch/admin/AdminTester.java
@@ -0,0 +1,96 @@
+package verbenahatch.admin;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.concurrent.Callable;
+import org.eclipse.jetty.client.ContentResponse;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Request;
+import org.eclipse.jetty.client.StringRequestContent;
+import verbenahatch.admin.testing.SingleHost;
+import verbenahatch.kernel.Closer;
+import verbenahatch.kernel.Json;
+import verbenahatch.standins.InMemoryObjectStore;
+import verbenahatch.standins.StoreFaults;
+
+/** Starts a host over an in-memory store and calls its administration API. */
+final class AdminTester implements AutoCloseable {
+
+  record Reply(int status, JsonNode body) {}
+
+  private static final long PATIENCE_NANOS = Duration.ofSeconds(20).toNanos();
+
+  final InMemoryObjectStore store = new InMemoryObjectStore();
+  final SingleHost host;
+  private final Closer closer = new Closer();
+  private final HttpClient client = new HttpClient();
+
+  AdminTester() throws Exception {
+    this(StoreFaults.NONE);
+  }
+
+  AdminTester(StoreFaults faults) throws Exception {
+    store.setFaults(faults);
+    closer.register(store);
+    host = closer.register(new SingleHost(store));
+    client.start();
+    closer.register(client::stop);
+  }
+
+  Reply call(String method, String path, String body) throws Exception {
+    return call(method, path, body, SingleHost.TOKEN);
+  }
+
+  Reply call(String method, String path, String body, String token) throws Exception {
+    Request request = client.newRequest(host.url() + path).method(method);
+    request.headers(headers -> headers.put("Authorization", "Bearer " + token));
+    if (!body.isEmpty()) {
+      request.body(new StringRequestContent(body));
+    }
+    ContentResponse response = request.send();
+    byte[] content = response.getContent();
+    boolean isJson = response.getMediaType().equals("application/json");
+    return new Reply(
+        response.getStatus(),
+        Json.readTree(isJson ? content : Json.write(response.getContentAsString())));
+  }
+
+  Reply get(String path) throws Exception {
+    return call("GET", path, "");
+  }
+
+  /** Waits for something that hosts do in the background. */
+  void await(Callable<Boolean> condition) throws Exception {
+    long end = System.nanoTime() + PATIENCE_NANOS;
+    while (!condition.call()) {
+      assertTrue(System.nanoTime() - end < 0, "not so within " + PATIENCE_NANOS + " ns");
+      Thread.onSpinWait();
+    }
+  }
+
+  void awaitReady() throws Exception {
+    await(() -> get("/readyz").status() == 200);
+  }
+
+  /** Stores the example document and waits until it is in force. */
+  void putExample() throws Exception {
+    call("PUT", "/v1/environments/production?seen=0", example());
+    awaitReady();
+  }
+
+  static String example() throws IOException {
+    Path file = Path.of("..", "examples", "ndiaye", "production.json");
+    return Files.readString(file, StandardCharsets.UTF_8);
+  }
+
+  @Override
+  public void close() throws Exception {
+    closer.close();
+  }
+}
