--- /dev/null
+++ b/ctl/src/test/java/verbenahatch/ctl/CtlMainTest.java
@@ -0,0 +1,260 @@
+package verbenahatch.ctl;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import picocli.CommandLine;
+import verbenahatch.admin.testing.SingleHost;
+import verbenahatch.kernel.Closer;
+import verbenahatch.kernel.Json;
+import verbenahatch.standins.InMemoryObjectStore;
+import verbenahatch.standins.StoreFaults;
+
+/** Runs commands against a real administration API over an in-memory store. */
+class CtlMainTest {
+
+  private static final Path EXAMPLE = Path.of("..", "examples", "ndiaye", "production.json");
+  private static final long PATIENCE_NANOS = Duration.ofSeconds(20).toNanos();
+
+  private record Run(int code, String out, String err) {
+    JsonNode json() throws Exception {
+      return Json.readTree(out.getBytes(StandardCharsets.UTF_8));
+    }
+  }
+
+  @TempDir private Path directory;
+  private final Closer closer = new Closer();
+  private final InMemoryObjectStore store = new InMemoryObjectStore();
+  private String server = "";
+
+  @BeforeEach
+  void open() throws Exception {
+    server = closer.register(new SingleHost(store)).url();
+  }
+
+  @AfterEach
+  void close() throws Exception {
+    closer.close();
+  }
+
+  private static Run run(Map<String, String> environment, List<String> args) {
+    StringWriter out = new StringWriter();
+    StringWriter err = new StringWriter();
+    CommandLine line = CtlMain.commandLine(environment);
+    line.setOut(new PrintWriter(out, true)).setErr(new PrintWriter(err, true));
+    int code = line.execute(args.toArray(String[]::new));
+    return new Run(code, out.toString(), err.toString());
+  }
+
+  private Run ctl(String... args) {
+    List<String> all = new ArrayList<>(List.of(args));
+    all.addAll(List.of("--server", server));
+    return run(Map.of("VERBENAHATCH_TOKEN", SingleHost.TOKEN), all);
+  }
+
+  private Run json(String... args) {
+    List<String> all = new ArrayList<>(List.of(args));
+    all.addAll(List.of("--output", "json"));
+    return ctl(all.toArray(String[]::new));
+  }
+
+  private void putExample() {
+    assertEquals(
+        0, ctl("environment", "put", "production", EXAMPLE.toString(), "--seen", "0").code());
+    long end = System.nanoTime() + PATIENCE_NANOS;
+    while (ctl("ready").code() != 0 && System.nanoTime() - end < 0) {
+      Thread.onSpinWait();
+    }
+  }
+
+  private String write(String name, String text) throws Exception {
+    return Files.writeString(directory.resolve(name), text).toString();
+  }
+
+  /** Guards against scripts that take a refusal, a usage error or an outage for success. */
+  @Test
+  void mapsExitCodes() throws Exception {
+    int closedPort;
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      closedPort = socket.getLocalPort();
+    }
+    final String dead = "http://127.0.0.1:" + closedPort;
+    final Map<String, String> token = Map.of("VERBENAHATCH_TOKEN", SingleHost.TOKEN);
+    assertEquals(0, ctl("status").code());
+    assertEquals(1, ctl("ready").code());
+    assertEquals(1, ctl("environment", "get", "production").code());
+    assertEquals(2, ctl("environment", "promote", "production").code());
+    assertEquals(2, ctl("environment", "put", "production", "missing", "--seen", "0").code());
+    assertEquals(2, run(Map.of(), List.of("status", "--server", server)).code());
+    assertEquals(3, run(token, List.of("status", "--server", dead)).code());
+    assertEquals(0, run(token, List.of("status", "--server", dead + "," + server)).code());
+    Map<String, String> guess = Map.of("VERBENAHATCH_TOKEN", "guess");
+    assertEquals(1, run(guess, List.of("status", "--server", server)).code());
+    String file = write("token", SingleHost.TOKEN + "\n");
+    List<String> withFile = List.of("status", "--server", server, "--token-file", file);
+    assertEquals(0, run(Map.of(), withFile).code());
+  }
+
+  /** Guards against a command without help that a person can use. */
+  @ParameterizedTest
+  @ValueSource(
+      strings = {
+        "status",
+        "state",
+        "metrics",
+        "ready",
+        "environment get",
+        "environment put",
+        "environment validate",
+        "environment diff",
+        "environment promote",
+        "key issue",
+        "key list",
+        "key withdraw",
+        "key status",
+        "drain list",
+        "drain start",
+        "drain end",
+        "release list",
+        "release start",
+        "release status",
+        "release watch",
+        "release take-back"
+      })
+  void helpsWithEachCommand(String command) {
+    List<String> args = new ArrayList<>(List.of(command.split(" ", -1)));
+    args.add("--help");
+    Run run = run(Map.of(), args);
+    assertEquals(0, run.code(), run.err());
+    assertTrue(run.out().contains("Usage: verbenahatchctl " + command), run.out());
+    assertTrue(run.out().contains("--token-file"), run.out());
+    assertFalse(run.out().contains("null"), run.out());
+  }
+
+  /** Guards against a conflict or faults that the text does not explain. */
+  @Test
+  void explainsRefusals() throws Exception {
+    putExample();
+    Run conflict = ctl("environment", "put", "production", EXAMPLE.toString(), "--seen", "0");
+    assertEquals(1, conflict.code());
+    assertTrue(conflict.err().contains("generation 1 is current, you saw 0"), conflict.err());
+    String text = Files.readString(EXAMPLE).replaceFirst("\"burst\": 240", "\"burst\": 0.5");
+    String faulty = write("faulty.json", text);
+    Run put = ctl("environment", "put", "production", faulty, "--seen", "1");
+    assertTrue(put.err().contains("workspaces[0].burst: 0.5 (allowed: "), put.err());
+    Run valid = ctl("environment", "validate", "production", EXAMPLE.toString());
+    assertEquals(0, valid.code());
+    Run checked = ctl("environment", "validate", "production", faulty);
+    assertEquals(1, checked.code());
+    assertTrue(checked.out().contains("workspaces[0].burst"), checked.out());
+    Run json = json("environment", "put", "production", EXAMPLE.toString(), "--seen", "0");
+    assertEquals(1, json.json().path("current").asLong());
+  }
+
+  /** Guards against a document that changes on its way from trial to production. */
+  @Test
+  void promotesDocument() throws Exception {
+    putExample();
+    Run read = json("environment", "get", "production", "--only-document");
+    String trial = read.out().replace("\"production\"", "\"trial\"").replace("240.0", "241.0");
+    String file = write("trial.json", trial);
+    assertEquals(0, ctl("environment", "put", "trial", file, "--seen", "0").code());
+    Run diff = json("environment", "diff", "production", "--with", "trial");
+    assertFalse(diff.json().path("changes").isEmpty());
+    assertEquals(1, ctl("environment", "promote", "--seen", "0", "--seen-from", "1").code());
+    assertEquals(0, ctl("environment", "promote", "--seen", "1", "--seen-from", "1").code());
+    Run after = json("environment", "diff", "production", "--with", "trial");
+    assertTrue(after.json().path("changes").isEmpty(), after.out());
+    Run same = json("environment", "diff", "production", EXAMPLE.toString());
+    assertEquals(diff.json().path("changes").size(), same.json().path("changes").size());
+  }
+
+  /** Guards against a withdrawal that the operator takes for complete when it is not. */
+  @Test
+  void issuesAndWithdrawsKeys() throws Exception {
+    putExample();
+    String workspace =
+        json("environment", "get", "production").json().at("/document/workspaces/0/name").asText();
+    JsonNode issued = json("key", "issue", "production", workspace).json();
+    String hash = issued.path("sha256").asText();
+    assertTrue(ctl("key", "list", "production").out().contains(hash));
+    String keyFile = write("key", issued.path("key").asText() + "\n");
+    Run withdrawn = json("key", "withdraw", "production", "--key-file", keyFile);
+    assertEquals(0, withdrawn.code(), withdrawn.err());
+    assertTrue(withdrawn.json().path("accepted").asBoolean());
+    Run status = ctl("key", "status", "production", issued.path("key").asText());
+    assertTrue(status.out().contains("accepted: true"), status.out());
+    assertEquals(1, ctl("key", "issue", "production", "nobody").code());
+    assertEquals(2, ctl("key", "withdraw", "production").code());
+  }
+
+  /** Guards against drains that cannot be started, seen and ended from the command line. */
+  @Test
+  void drainsAndUndrains() {
+    putExample();
+    assertEquals(0, ctl("drain", "start", "target", "catalogue-1").code());
+    assertTrue(ctl("drain", "list").out().contains("targets: catalogue-1"));
+    assertEquals(1, ctl("drain", "start", "zone", "nowhere").code());
+    assertEquals(2, ctl("drain", "start", "planet", "earth").code());
+    assertEquals(1, ctl("drain", "end", "target", "catalogue-1", "--seen", "9").code());
+    assertEquals(0, ctl("drain", "end", "target", "catalogue-1").code());
+    assertTrue(ctl("drain", "list").out().contains("targets: -"));
+  }
+
+  /** Guards against a watch that misses the end of a release or never ends. */
+  @Test
+  void startsWatchesAndTakesBackRelease() throws Exception {
+    String text =
+        Files.readString(EXAMPLE)
+            .replaceFirst(
+                "(?s)(\"id\": \"catalogue-2\".*?)\"version\": \"v1\"", "$1\"version\": \"v2\"")
+            .replaceFirst("(?s)\"releases\": \\[.*?\\]", "\"releases\": []");
+    String document = write("document.json", text);
+    assertEquals(0, ctl("environment", "put", "production", document, "--seen", "0").code());
+    String release =
+        write(
+            "release.json",
+            "{\"id\":\"r1\",\"service\":\"catalogue\",\"fromVersion\":\"v1\",\"toVersion\":\"v2\","
+                + "\"startAt\":\"2026-12-04T08:00:00Z\",\"deadline\":\"2026-12-04T18:00:00Z\"}");
+    assertEquals(0, ctl("release", "start", "production", release, "--seen", "1").code());
+    assertTrue(ctl("release", "list", "production").out().contains("r1"));
+    assertEquals(1, ctl("release", "watch", "production", "r1", "--for", "1").code());
+    store.put("release/catalogue", Json.write(Map.of("status", "done")), 0, "w1");
+    assertEquals(0, ctl("release", "watch", "production", "r1").code());
+    long end = System.nanoTime() + PATIENCE_NANOS;
+    while (!json("status").json().path("fresh").asBoolean() && System.nanoTime() - end < 0) {
+      Thread.onSpinWait();
+    }
+    assertEquals(0, ctl("release", "take-back", "production", "r1", "--reason", "dents").code());
+    assertEquals(1, ctl("release", "take-back", "production", "r2", "--reason", "dents").code());
+  }
+
+  /** Guards against an outage of the store that looks like an unreachable host. */
+  @Test
+  void reportsOutageOfStore() {
+    store.setFaults(StoreFaults.DOWN);
+    Run run = ctl("environment", "put", "production", EXAMPLE.toString(), "--seen", "0");
+    assertEquals(1, run.code());
+    assertTrue(run.err().contains("unavailable"), run.err());
+    assertTrue(run.err().contains("nothing was changed"), run.err());
+  }
+}
