--- a/fleet/src/main/java/verbenahatch/fleet/FleetNode.java
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetNode.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import verbenahatch.kernel.Clock;
@@ -60,6 +61,8 @@
     this.keys = new KeyTable(environment, this::isFresh);
     this.core = new FleetCore(self, clock, events, keys::apply);
     this.objects = new ObjectSpread(events, adopters(environment));
+    config.readObjectsFrom(
+        name -> Optional.ofNullable(objects.get(name)).map(ObjectSpread.Held::value));
     this.store = new StoreAccess(store, events);
     this.watcher = new StoreWatcher(core, objects, this.store);
     this.durable = new DurableWriter(core, objects, this.store, keys, environment, newIds);
@@ -180,12 +183,13 @@
   }
 
   /**
-   * Returns the readiness.
+   * Tells why this host must not be given callers yet: it is no member, not fresh, has no document
+   * or lacks a generation that a majority of its peers reported.
    *
-   * @return the view of this host
+   * @return a short text for operators, empty if the host is ready
    */
-  public Readiness readiness() {
-    return readiness;
+  public String notReady() {
+    return readiness.reason();
   }
 
   /**
--- a/gateway/src/main/java/verbenahatch/gateway/Exchange.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Exchange.java
@@ -12,14 +12,15 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
-import verbenahatch.fleet.Drains;
 import verbenahatch.fleet.KeyCheck;
+import verbenahatch.gateway.submission.Claim;
+import verbenahatch.gateway.submission.ClaimResult;
+import verbenahatch.gateway.submission.Settlement;
 import verbenahatch.limits.Admission;
 import verbenahatch.model.EnvironmentDocument;
 import verbenahatch.model.EnvironmentDocument.Access;
 import verbenahatch.model.EnvironmentDocument.Route;
 import verbenahatch.model.EnvironmentDocument.Service;
-import verbenahatch.routing.TargetLoad;
 
 /**
  * Takes one request from the caller to a target and back.
@@ -27,11 +28,14 @@
  * <p>Steps: route, key, admission, version, region and target, last check, forwarding. Each step
  * continues on the thread that completes it; nothing blocks.
  */
-final class Exchange {
+final class Exchange implements Placement.Listener {
 
   /** Attempts per request, the first included. */
   private static final int MAX_ATTEMPTS = 3;
 
+  /** Places become free within some requests' time; a second spreads the retries of callers. */
+  private static final long NO_CAPACITY_RETRY_MILLIS = 1_000;
+
   final DataPath path;
   final GatewayContext context;
   final Request request;
@@ -39,6 +43,7 @@
   private final Callback callback;
   private final AtomicBoolean finished = new AtomicBoolean();
   private final AtomicReference<@Nullable Attempt> attempt = new AtomicReference<>();
+  private final AtomicReference<@Nullable CallerWatch> watch = new AtomicReference<>();
   private final Set<String> tried = new HashSet<>();
   private volatile boolean callerGone;
   private int attempts;
@@ -52,9 +57,13 @@
   private @Nullable String workspace;
   private @Nullable String keyHash;
   private @Nullable Route route;
+  private @Nullable ServiceTargets service;
   private String version = "";
   private long deadlineNanos;
   private @Nullable CallerContent content;
+  private Submissions.@Nullable Submission submission;
+  private volatile @Nullable Claim claim;
+  private int runStatus;
 
   Exchange(DataPath path, Request request, Response response, Callback callback) {
     this.path = path;
@@ -99,6 +108,12 @@
       refuse(Refusal.BAD_REQUEST);
       return;
     }
+    if (!Submissions.isValid(request.getHeaders())) {
+      refuse(Refusal.BAD_REQUEST);
+      return;
+    }
+    // A request that may run twice without harm needs no claim.
+    submission = found.idempotent() ? null : Submissions.read(request.getHeaders());
     if (millis <= 0) {
       refuse(Refusal.DEADLINE_UNREACHABLE);
       return;
@@ -150,12 +165,14 @@
   }
 
   private void chooseVersion(EnvironmentDocument document, Route found) {
-    for (Service service : document.services()) {
-      if (service.name().equals(found.service())) {
+    ServiceTargets targets = path.targets().service(found.service());
+    for (Service candidate : document.services()) {
+      if (targets != null && candidate.name().equals(found.service())) {
         double draw = ThreadLocalRandom.current().nextDouble();
-        version = context.releases().chooseVersion(service.name(), service.version(), draw);
+        version = context.releases().chooseVersion(candidate.name(), candidate.version(), draw);
+        service = targets;
         prepareContent();
-        tryRegions(0, false);
+        findPlace();
         return;
       }
     }
@@ -172,73 +189,72 @@
       if (first != null && first.isLast() && !first.hasRemaining()) {
         return;
       }
-    } else if (length < 0 && !chunked) {
+    } else if (length == 0 || (length < 0 && !chunked)) {
+      watchCaller();
       return;
     }
-    if (length != 0) {
-      content = new CallerContent(request, length, first, key, bytes -> {});
-    }
+    content = new CallerContent(request, length, first, key, this::watchCaller);
   }
 
-  private void tryRegions(int index, boolean someFull) {
-    if (callerGone) {
-      finish();
-      return;
+  private void watchCaller() {
+    watch.set(CallerWatch.begin(request, this::onCallerGone));
+  }
+
+  private void settle(Outcome outcome, int status) {
+    Claim held = claim;
+    if (held != null) {
+      held.settle(Settlement.valueOf(outcome.name()), status);
     }
-    Route found = routeFound();
-    if (context.clock().nanoTime() - deadlineNanos >= 0) {
-      refuse(Refusal.DEADLINE_UNREACHABLE);
-      return;
+  }
+
+  private void endWatch() {
+    CallerWatch watching = watch.getAndSet(null);
+    if (watching != null) {
+      watching.end();
     }
-    boolean fresh = context.fleet().isFresh();
-    if (!fresh && found.access() == Access.KEYED) {
-      refuse(Refusal.HOST_NOT_FRESH);
+  }
+
+  private void findPlace() {
+    String waitsAs = workspace == null ? "" : workspace;
+    boolean open = routeFound().access() == Access.OPEN;
+    new Placement(path, service(), version, waitsAs, tried, deadlineNanos, open, this).begin();
+  }
+
+  @Override
+  public void placed(Place place) {
+    Submissions.Submission submitted = submission;
+    if (submitted == null || claim != null) {
+      attempt(place);
       return;
     }
-    Drains drains = context.config().drains();
-    for (int i = index; i < path.targets().regions().size(); i++) {
-      String region = path.targets().regions().get(i);
-      if (!fresh && !region.equals(context.settings().region())) {
-        break;
-      }
-      TargetLoad target = path.targets().acquire(found.service(), version, region, drains, tried);
-      if (target == null) {
-        continue;
-      }
-      int next = i + 1;
-      if (!fresh) {
-        attempt(target, false);
+    path.submissions()
+        .claim(submitted, workspace, deadlineNanos)
+        .thenAccept(result -> claimed(place, result))
+        .exceptionally(this::internal);
+  }
+
+  private void claimed(Place place, ClaimResult result) {
+    if (result instanceof ClaimResult.Granted granted) {
+      claim = granted.claim();
+      if (callerGone) {
+        place.release();
+        refuse(Refusal.DEADLINE_UNREACHABLE);
         return;
       }
-      context
-          .limits()
-          .enterRegion(region, deadlineNanos)
-          .thenAccept(admission -> entered(target, admission, next))
-          .exceptionally(this::internal);
-      return;
-    }
-    Refusal failure = lastFailure;
-    if (failure != null) {
-      refuse(failure);
+      attempt(place);
       return;
     }
-    boolean exists = path.targets().hasTarget(found.service(), version, drains);
-    refuse(exists || someFull ? Refusal.NO_CAPACITY : Refusal.NO_TARGET, 1_000);
-  }
-
-  private void entered(TargetLoad target, Admission admission, int nextRegion) {
-    if (admission instanceof Admission.Admitted) {
-      attempt(target, true);
-      return;
+    place.release();
+    if (result instanceof ClaimResult.AlreadyRun ran && ran.status() > 0) {
+      runStatus = ran.status();
     }
-    target.release();
-    tryRegions(nextRegion, true);
+    refuse(Submissions.refusalOf(result));
   }
 
-  private void attempt(TargetLoad target, boolean inRegion) {
+  private void attempt(Place place) {
     attempts++;
-    tried.add(target.target().id());
-    Attempt next = new Attempt(this, target, inRegion);
+    tried.add(place.target().target().id());
+    Attempt next = new Attempt(this, place);
     attempt.set(next);
     next.start();
     if (callerGone) {
@@ -246,6 +262,21 @@
     }
   }
 
+  @Override
+  public void notPlaced(Refusal refusal) {
+    Refusal failure = lastFailure;
+    if (failure != null) {
+      refuse(failure);
+    } else {
+      refuse(refusal, refusal == Refusal.NO_CAPACITY ? NO_CAPACITY_RETRY_MILLIS : 0);
+    }
+  }
+
+  @Override
+  public boolean isGone() {
+    return callerGone;
+  }
+
   /**
    * Checks freshness, key and deadline at the moment before the first byte.
    *
@@ -255,6 +286,10 @@
     if (callerGone || context.clock().nanoTime() - deadlineNanos >= 0) {
       return Refusal.DEADLINE_UNREACHABLE;
     }
+    Claim held = claim;
+    if (held != null && !held.isHeld(context.clock().nanoTime())) {
+      return Refusal.DEADLINE_UNREACHABLE;
+    }
     String hash = keyHash;
     if (hash == null) {
       return null;
@@ -286,7 +321,7 @@
             || refusal == Refusal.ANSWER_MISMATCHED
             || refusal == Refusal.DEADLINE_EXCEEDED;
     if (again && retryable && !callerGone && path.retries().tryRetry()) {
-      tryRegions(0, true);
+      findPlace();
       return;
     }
     refuse(refusal);
@@ -312,10 +347,22 @@
     return found;
   }
 
+  private ServiceTargets service() {
+    ServiceTargets found = service;
+    if (found == null) {
+      throw new IllegalStateException("no service yet");
+    }
+    return found;
+  }
+
   @Nullable String key() {
     return key;
   }
 
+  Submissions.@Nullable Submission submission() {
+    return submission;
+  }
+
   @Nullable String workspace() {
     return workspace;
   }
@@ -338,8 +385,10 @@
     boolean hides = earlier != null && reason.outcome() == Outcome.NOT_RUN;
     Refusal refusal = hides ? Objects.requireNonNull(earlier) : reason;
     if (finished.compareAndSet(false, true)) {
+      endWatch();
       path.count(routeFoundOrNull(), refusal);
-      Refusals.write(response, path.leaving(callback), refusal, retryAfterMillis);
+      settle(refusal.outcome(), 0);
+      Refusals.write(response, path.leaving(callback), refusal, retryAfterMillis, runStatus);
     }
   }
 
@@ -350,6 +399,8 @@
   /** Ends the exchange after a complete answer. */
   void finish() {
     if (finished.compareAndSet(false, true)) {
+      endWatch();
+      settle(Outcome.RUN, response.getStatus());
       path.leaving(callback).succeeded();
     }
   }
@@ -357,6 +408,8 @@
   /** Ends the caller's answer as broken. */
   void breakOff(Throwable cause) {
     if (finished.compareAndSet(false, true)) {
+      endWatch();
+      settle(Outcome.UNKNOWN, 0);
       path.leaving(callback).failed(cause);
     }
   }
--- a/gateway/src/main/java/verbenahatch/gateway/GatewayPlugin.java
+++ b/gateway/src/main/java/verbenahatch/gateway/GatewayPlugin.java
@@ -50,11 +50,13 @@
             kernel.require(Keys.class),
             kernel.require(Limits.class),
             kernel.require(Releases.class),
+            kernel.require(PeerLink.class),
+            kernel.require(ObjectStore.class),
             kernel.clock(),
             kernel.events());
     try {
       GatewayServer server = new GatewayServer(context, kernel.metrics());
-      kernel.closer().register(server);
+      kernel.closer().register(server::stopGracefully);
       kernel.provide(GatewayServer.class, server);
       kernel
           .state()
