--- a/release/src/test/java/verbenahatch/release/ReleaseNodeTest.java
+++ b/release/src/test/java/verbenahatch/release/ReleaseNodeTest.java
@@ -31,6 +31,7 @@
   private final ReleaseWorld world =
       new ReleaseWorld(new ManualClock(), SEED, HOSTS, Duration.ofMillis(35), store, document());
   private final long[] newRequests = new long[HOSTS];
+  private int faultyHost = -1;
 
   private static EnvironmentDocument document() {
     return new EnvironmentDocument(
@@ -72,7 +73,8 @@
     String version = releases.chooseVersion(SERVICE, OLD, random.nextDouble());
     boolean isNew = version.equals(NEW);
     newRequests[host] += isNew ? 1 : 0;
-    boolean failed = random.nextDouble() < (isNew ? newFailures : 0.005);
+    boolean faulty = isNew && (faultyHost < 0 || faultyHost == host);
+    boolean failed = random.nextDouble() < (faulty ? newFailures : 0.005);
     long latency = (long) (40e6 * Math.exp(0.5 * random.nextGaussian()));
     releases.record(SERVICE, "read", version, failed, latency);
   }
@@ -127,6 +129,18 @@
     assertEquals(ReleaseRecord.State.REVERSED, found().state());
   }
 
+  /** Guards against hosts that see no fault themselves and ignore the halt of another host. */
+  @Test
+  void haltOfOneHostReachesAllWithoutStore() {
+    run(150, 0.005);
+    store.setFaults(StoreFaults.DOWN);
+    faultyHost = 3;
+    run(5, 0.9);
+    final long before = totalNew();
+    run(10, 0.9);
+    assertEquals(before, totalNew(), "seed " + SEED);
+  }
+
   /** Guards against exposure that changes while no record can be written. */
   @Test
   void keepsExposureWhileStoreIsDown() {
