--- a/gateway/src/main/java/verbenahatch/gateway/Placement.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Placement.java
@@ -38,6 +38,15 @@
     boolean isGone();
   }
 
+  /**
+   * Bounds of the wait, which is otherwise a multiple of the time of a request. A longer queue adds
+   * latency in overload and serves no more; a shorter one refuses bursts that places could serve.
+   */
+  private static final long LEAST_WAIT_NANOS = 250_000_000L;
+
+  private static final long MOST_WAIT_NANOS = 2_000_000_000L;
+  private static final long WAIT_FACTOR = 20;
+
   private final DataPath path;
   private final GatewayContext context;
   private final ServiceTargets service;
@@ -47,6 +56,7 @@
   private final long deadlineNanos;
   private final boolean openOnly;
   private final Listener listener;
+  private final long startNanos;
   private boolean fromQueue;
 
   /**
@@ -73,6 +83,7 @@
     this.deadlineNanos = deadlineNanos;
     this.openOnly = openOnly;
     this.listener = listener;
+    this.startNanos = context.clock().nanoTime();
   }
 
   void begin() {
@@ -214,6 +225,10 @@
 
   /** Returns the latest time at which the request must leave the queue. */
   long latestNanos() {
-    return deadlineNanos - service.meanNanos();
+    long mean = service.meanNanos();
+    long wait = Math.min(MOST_WAIT_NANOS, Math.max(LEAST_WAIT_NANOS, WAIT_FACTOR * mean));
+    long byWait = startNanos + wait;
+    long byDeadline = deadlineNanos - mean;
+    return byWait - byDeadline < 0 ? byWait : byDeadline;
   }
 }
--- a/gateway/src/main/java/verbenahatch/gateway/ServiceTargets.java
+++ b/gateway/src/main/java/verbenahatch/gateway/ServiceTargets.java
@@ -1,6 +1,7 @@
 package verbenahatch.gateway;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -44,7 +45,10 @@
     this.name = name;
     this.all = List.copyOf(all);
     this.spread = spread;
-    for (TargetState state : all) {
+    List<TargetState> sorted = new ArrayList<>(all);
+    // All hosts divide the slots in the same order.
+    sorted.sort(Comparator.comparing(state -> state.target().id()));
+    for (TargetState state : sorted) {
       byRegionAndVersion
           .computeIfAbsent(
               key(state.target().region(), state.target().version()), k -> new ArrayList<>())
@@ -72,6 +76,11 @@
     return byRegionAndVersion.getOrDefault(key(region, version), List.of());
   }
 
+  /** Returns the targets of each region and version. */
+  Iterable<List<TargetState>> groups() {
+    return byRegionAndVersion.values();
+  }
+
   RegionChooser regions() {
     return spread.regions;
   }
--- a/gateway/src/main/java/verbenahatch/gateway/Targets.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Targets.java
@@ -1,6 +1,7 @@
 package verbenahatch.gateway;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -9,6 +10,7 @@
 import java.util.concurrent.ThreadLocalRandom;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.fleet.Drains;
+import verbenahatch.fleet.Member;
 import verbenahatch.model.EnvironmentDocument;
 import verbenahatch.model.EnvironmentDocument.Link;
 import verbenahatch.model.EnvironmentDocument.Region;
@@ -17,6 +19,7 @@
 import verbenahatch.routing.OutlierEjector;
 import verbenahatch.routing.PowerOfTwoChooser;
 import verbenahatch.routing.RegionChooser.Candidate;
+import verbenahatch.routing.SlotQuota;
 import verbenahatch.routing.TargetChooser;
 import verbenahatch.routing.TargetState;
 
@@ -42,6 +45,7 @@
     this.context = context;
     this.ownRegion = context.settings().region();
     this.chooser = chooser;
+    context.fleet().onChange(this::divideSlots);
   }
 
   /** Draws from the generator of the calling thread. */
@@ -84,6 +88,38 @@
       services.put(service.name(), new ServiceTargets(service.name(), states, spread));
     }
     table = new Table(Map.copyOf(byId), Map.copyOf(services), delays);
+    divideSlots(context.fleet().members());
+  }
+
+  /**
+   * Divides the slots of each region among its hosts.
+   *
+   * @param members the members; a region without a host divides among all
+   */
+  synchronized void divideSlots(List<Member> members) {
+    for (ServiceTargets service : table.services().values()) {
+      for (List<TargetState> states : service.groups()) {
+        String region = states.get(0).target().region();
+        List<String> hosts = hostsFor(region, members);
+        SlotQuota.assign(states, hosts.indexOf(context.fleet().self().host()), hosts.size());
+      }
+    }
+  }
+
+  private static List<String> hostsFor(String region, List<Member> members) {
+    List<String> near = new ArrayList<>();
+    List<String> all = new ArrayList<>();
+    for (Member member : members) {
+      if (!member.leaving()) {
+        all.add(member.host());
+        if (member.region().equals(region)) {
+          near.add(member.host());
+        }
+      }
+    }
+    List<String> hosts = near.isEmpty() ? all : near;
+    hosts.sort(Comparator.naturalOrder());
+    return hosts;
   }
 
   private static boolean isSameProcess(Target a, Target b) {
--- a/gateway/src/test/java/verbenahatch/gateway/GatewayServerTest.java
+++ b/gateway/src/test/java/verbenahatch/gateway/GatewayServerTest.java
@@ -149,6 +149,25 @@
     assertThrows(IOException.class, () -> gateway.send(gateway.keyed("/proofs")));
   }
 
+  @Test
+  void truncatedChunkedAnswerEndsAsBroken() throws Exception {
+    gateway.target(
+        new ScriptedTarget(
+            (head, socket) -> {
+              String id = ScriptedTarget.header(head, "verbenahatch-request-id");
+              ScriptedTarget.write(
+                  socket,
+                  "HTTP/1.1 200 OK\r\nVerbenahatch-Request-Id: "
+                      + id
+                      + "\r\nTransfer-Encoding: chunked\r\n\r\n186A0\r\n"
+                      + "x".repeat(100_000)
+                      + "\r\n");
+              return false;
+            }),
+        "dakar");
+    assertThrows(IOException.class, () -> gateway.send(gateway.keyed("/proofs")));
+  }
+
   @Test
   void answerToAnotherRequestIsNotPassedOn() throws Exception {
     gateway.target(
--- a/routing/src/main/java/verbenahatch/routing/PowerOfTwoChooser.java
+++ b/routing/src/main/java/verbenahatch/routing/PowerOfTwoChooser.java
@@ -7,7 +7,8 @@
 import org.jspecify.annotations.Nullable;
 
 /**
- * Takes the less loaded of two targets drawn at random.
+ * Takes a place within this host's quota, or else at the less loaded of two targets drawn at
+ * random.
  *
  * <p>Two draws keep hosts with equal information from choosing the same target. When both draws are
  * full, all targets are looked at, so that a place is found if there is one.
@@ -34,6 +35,37 @@
     if (targets.isEmpty()) {
       return null;
     }
+    Predicate<TargetState> ownSlot = state -> state.isWithinQuota() && eligible.test(state);
+    TargetState own = twoChoices(targets, ownSlot, placeLimit, nowNanos);
+    if (own == null) {
+      own = scan(targets, ownSlot, placeLimit, nowNanos);
+    }
+    if (own != null) {
+      return own;
+    }
+    // Beyond the quota, other hosts hold the slots, so a target that is usually full is left alone.
+    // A host without any quota must not be shut out by reports, which can be wrong.
+    boolean hasQuota = hasQuota(targets);
+    Predicate<TargetState> seemsFree =
+        state -> !(hasQuota && state.seemsFull(nowNanos)) && eligible.test(state);
+    TargetState other = twoChoices(targets, seemsFree, placeLimit, nowNanos);
+    return other != null ? other : scan(targets, seemsFree, placeLimit, nowNanos);
+  }
+
+  private static boolean hasQuota(List<TargetState> targets) {
+    for (TargetState state : targets) {
+      if (state.quota() > 0) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private @Nullable TargetState twoChoices(
+      List<TargetState> targets,
+      Predicate<TargetState> eligible,
+      IntUnaryOperator placeLimit,
+      long nowNanos) {
     int size = targets.size();
     int first = random.nextInt(size);
     int second = size == 1 ? first : (first + 1 + random.nextInt(size - 1)) % size;
@@ -45,7 +77,7 @@
     if (better != null && better.tryAcquire(limit(better, placeLimit))) {
       return better;
     }
-    return scan(targets, eligible, placeLimit, nowNanos);
+    return null;
   }
 
   private static @Nullable TargetState ifPlace(
--- a/routing/src/main/java/verbenahatch/routing/TargetState.java
+++ b/routing/src/main/java/verbenahatch/routing/TargetState.java
@@ -12,8 +12,15 @@
  */
 public final class TargetState {
 
-  /** A report counts half after this time; reports come about once a second. */
-  static final long REPORT_HALF_LIFE_NANOS = 1_000_000_000L;
+  /** Reports stop counting for half after this time; they come with answers or once a second. */
+  static final long REPORT_HALF_LIFE_NANOS = 5_000_000_000L;
+
+  /**
+   * Time over which reports are averaged. Requests of some milliseconds make a single report old at
+   * once: hosts that followed the newest one sent half of all requests to full targets in
+   * simulation. The mean tells whether a slot is usually free.
+   */
+  static final long REPORT_MEAN_NANOS = 500_000_000L;
 
   /** Time over which a target that starts, or returns, takes up to its full share. */
   static final long SLOW_START_NANOS = 10_000_000_000L;
@@ -34,6 +41,7 @@
   private final AtomicInteger failuresInRow = new AtomicInteger();
   private final AtomicInteger outcomes = new AtomicInteger();
   private final AtomicLong failureRateBits = new AtomicLong();
+  private volatile int quota;
   private volatile Target target;
   private volatile long slowSinceNanos;
   private volatile long shedNanos;
@@ -56,10 +64,10 @@
   }
 
   /**
-   * Holds one load report.
+   * Holds the mean of load reports.
    *
-   * @param others requests in flight at the target from other hosts
-   * @param atNanos when the report was asked for
+   * @param others mean number of requests in flight at the target from other hosts
+   * @param atNanos when the newest report was asked for
    */
   private record Report(double others, long atNanos) {}
 
@@ -113,6 +121,18 @@
     }
   }
 
+  int quota() {
+    return quota;
+  }
+
+  void setQuota(int slots) {
+    quota = slots;
+  }
+
+  boolean isWithinQuota() {
+    return inFlight.get() < quota;
+  }
+
   /** Returns a place taken with {@link #tryAcquire(int)}. */
   public void release() {
     inFlight.decrementAndGet();
@@ -125,7 +145,16 @@
    * @param askedNanos when the report was asked for
    */
   public void reported(long reported, long askedNanos) {
-    report = new Report(Math.max(0, reported - inFlight.get()), askedNanos);
+    double others = Math.max(0, reported - inFlight.get());
+    Report last = report;
+    if (last == null) {
+      report = new Report(others, askedNanos);
+      return;
+    }
+    // Two reports at once may lose one of them, which the next ones make up for.
+    double passed = Math.max(0, askedNanos - last.atNanos());
+    double weight = 1 - Math.pow(0.5, passed / REPORT_MEAN_NANOS);
+    report = new Report(last.others() + weight * (others - last.others()), askedNanos);
   }
 
   /**
@@ -257,6 +286,16 @@
     return (load + failureRate()) / effectiveSlots(nowNanos) + penalty;
   }
 
+  /**
+   * Tells whether own requests and the aged mean of reports leave no slot.
+   *
+   * @param nowNanos the time
+   * @return true if one more request would likely wait at the target
+   */
+  boolean seemsFull(long nowNanos) {
+    return inFlight.get() + othersNow(nowNanos) > target.slots() - 1;
+  }
+
   // The report is bounded by the slots, so that a wrong one cannot keep a target idle for good.
   private double othersNow(long nowNanos) {
     Report last = report;
--- a/standins/src/main/java/verbenahatch/standins/target/Work.java
+++ b/standins/src/main/java/verbenahatch/standins/target/Work.java
@@ -308,6 +308,9 @@
   }
 
   private void echo() {
+    if (!target.behaviour().loadSilent()) {
+      response.getHeaders().put(OWN + "Load", target.reportedInFlight());
+    }
     String id = header("Request-Id");
     if (!id.isEmpty()) {
       response.getHeaders().put(OWN + "Request-Id", id);
