--- a/limits/src/main/java/verbenahatch/limits/testing/LimitSimulation.java
+++ b/limits/src/main/java/verbenahatch/limits/testing/LimitSimulation.java
@@ -114,8 +114,18 @@
    */
   public void setLatency(Duration inside, Duration between) {
     network.setLatency(
-        (from, to, random) ->
-            from.port() % regions == to.port() % regions ? inside.toNanos() : between.toNanos());
+        (from, to, random) -> (isSameRegion(from.port(), to.port()) ? inside : between).toNanos());
+  }
+
+  /**
+   * Tells whether two hosts are in one region.
+   *
+   * @param left the index of a host
+   * @param right the index of another
+   * @return true if they are
+   */
+  public boolean isSameRegion(int left, int right) {
+    return left % regions == right % regions;
   }
 
   /**
@@ -210,6 +220,17 @@
     network.advance(step);
   }
 
+  /**
+   * Tells whether a host may use its shares now or later.
+   *
+   * @param host the host
+   * @return false if its process is gone, or its incarnation was fenced and has lapsed
+   */
+  public boolean mayUseShares(SimulatedHost host) {
+    long fencedAt = fences.getOrDefault(host.self().incarnation(), Long.MAX_VALUE - LAPSE_NANOS);
+    return !host.killed && host.limits().holdsShares() && clock.nanoTime() < fencedAt + LAPSE_NANOS;
+  }
+
   private static PeerAddress address(int index) {
     return new PeerAddress("127.0.0.1", BASE_PORT + index);
   }
@@ -265,13 +286,13 @@
         host.contacts.put(other.self().incarnation(), now);
       }
     }
+    host.refresh();
     if (reached <= members.size() / 2) {
       return;
     }
     host.see(epoch, members);
     fences.forEach((incarnation, at) -> host.lapses.put(incarnation, at + LAPSE_NANOS));
-    if (document.generation() > host.config().document().map(d -> d.generation()).orElse(0L)
-        && isLate(now)) {
+    if (document.generation() > host.generation() && isLate(now)) {
       host.adopt(document);
     }
     if (fences.containsKey(host.self().incarnation())) {
