--- a/gateway/src/test/java/verbenahatch/gateway/GatewayFixture.java
+++ b/gateway/src/test/java/verbenahatch/gateway/GatewayFixture.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.function.BooleanSupplier;
 import verbenahatch.kernel.Clock;
 import verbenahatch.kernel.Closer;
 import verbenahatch.kernel.Events;
@@ -20,6 +21,7 @@
 import verbenahatch.model.EnvironmentDocument.Target;
 import verbenahatch.model.EnvironmentDocument.Workspace;
 import verbenahatch.model.Settings;
+import verbenahatch.peer.PeerLink;
 
 /** Runs a gateway over fakes in front of scripted targets. */
 final class GatewayFixture implements AutoCloseable {
@@ -27,16 +29,23 @@
   static final int ROUTE_TIMEOUT_MILLIS = 2_000;
 
   final Closer closer = new Closer();
-  final Fakes.FakeFleet fleet = new Fakes.FakeFleet("entry-1");
+  final Fakes.FakeFleet fleet;
   final Fakes.FakeConfig config = new Fakes.FakeConfig();
   final Fakes.FakeKeys keys = new Fakes.FakeKeys();
   final Fakes.FakeLimits limits = new Fakes.FakeLimits();
   final Fakes.FakeReleases releases = new Fakes.FakeReleases();
   final List<Target> targets = new ArrayList<>();
+  volatile List<EnvironmentDocument.ClientBlock> clients = List.of();
   final GatewayServer server;
   final HttpClient http = HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
 
   GatewayFixture() throws Exception {
+    this("entry-1", new FakePeers(), new FakeStore());
+  }
+
+  GatewayFixture(String host, FakePeers network, FakeStore store) throws Exception {
+    fleet = new Fakes.FakeFleet(host);
+    PeerLink peers = network.join(fleet.self());
     server =
         closer.register(
             new GatewayServer(
@@ -47,6 +56,8 @@
                     keys,
                     limits,
                     releases,
+                    peers,
+                    store,
                     Clock.system(),
                     Events.none()),
                 new PrometheusRegistry()));
@@ -92,7 +103,7 @@
             route("orders", List.of("POST"), "/orders", Access.KEYED, false)),
         List.of(new Workspace("ateliers", 100, 10, 1)),
         List.of(),
-        List.of());
+        clients);
   }
 
   private static Route route(
@@ -112,6 +123,17 @@
     return http.send(request.build(), HttpResponse.BodyHandlers.ofString());
   }
 
+  /** Waits until a condition that follows the answer to the caller becomes true. */
+  static void until(BooleanSupplier condition) {
+    long end = System.nanoTime() + 5_000_000_000L;
+    while (!condition.getAsBoolean()) {
+      if (System.nanoTime() > end) {
+        throw new AssertionError("condition did not become true in 5 s");
+      }
+      Thread.onSpinWait();
+    }
+  }
+
   static String reason(HttpResponse<?> response) {
     return response.headers().firstValue(HeaderNames.REASON).orElse("");
   }
