--- a/limits/src/main/java/verbenahatch/limits/HolderLedger.java
+++ b/limits/src/main/java/verbenahatch/limits/HolderLedger.java
@@ -58,7 +58,7 @@
    * Change of demand that is reported soon, as a fraction of the rate held. Smaller changes are met
    * by the share; reporting each cost 101 messages a second per host at 9 hosts.
    */
-  private static final double NOTABLE_PART_OF_SHARE = 0.125;
+  private static final double NOTABLE_PART_OF_SHARE = 0.25;
 
   private final int group;
   private final Clock clock;
