Count a lowered limit as in force only once its home has applied it

Change: the state view shows the total that the pool is counted against, and the audit waits for it. The bound that is asserted is unchanged.

--- a/limits/src/main/java/verbenahatch/limits/GroupHome.java
+++ b/limits/src/main/java/verbenahatch/limits/GroupHome.java
@@ -100,6 +100,15 @@
         .map(account -> account.pool(context.clock().nanoTime()));
   }
 
+  /** Returns the total that the pool is counted against, empty if there is no pool here. */
+  synchronized Optional<LimitSpec> poolTotal(String limit) {
+    HomeLedger home = ledger;
+    if (home == null || !home.isActive()) {
+      return Optional.empty();
+    }
+    return Optional.ofNullable(home.accounts().get(limit)).map(HomeAccount::spec);
+  }
+
   /** Drops everything that belongs to the old incarnation. */
   synchronized void reset() {
     dropLedger();
--- a/limits/src/main/java/verbenahatch/limits/SharedLimits.java
+++ b/limits/src/main/java/verbenahatch/limits/SharedLimits.java
@@ -275,7 +275,8 @@
    * @param scarce whether the demand reaches the total
    * @param pool what is not handed out, if this host is the home and may grant; negative while
    *     shares above a lowered total are out
-   * @param total the total in force
+   * @param poolTotal the total that the pool is counted against, if there is a pool
+   * @param total the total of the document in force at this host
    */
   public record View(
       int group,
@@ -285,6 +286,7 @@
       long waiting,
       boolean scarce,
       @Nullable Share pool,
+      @Nullable LimitSpec poolTotal,
       LimitSpec total) {}
 
   /**
@@ -308,6 +310,7 @@
               limit.waiting(),
               limit.scarce(),
               home.pool(limit.name()).orElse(null),
+              home.poolTotal(limit.name()).orElse(null),
               limit.spec()));
     }
     return views;
--- a/limits/src/main/java/verbenahatch/limits/testing/ShareAudit.java
+++ b/limits/src/main/java/verbenahatch/limits/testing/ShareAudit.java
@@ -54,7 +54,9 @@
       }
       SharedLimits.@Nullable View view = host.limits().view().get(limit);
       if (view != null && view.pool() != null && host.isRunning() && host.isFresh()) {
-        settled |= view.pool().rate() >= 0 && view.pool().burst() >= 0;
+        // The home applies a document some milliseconds after its host adopts it.
+        boolean applied = view.total().equals(view.poolTotal());
+        settled |= applied && view.pool().rate() >= 0 && view.pool().burst() >= 0;
       }
     }
     return settled;
