Show the record of a release only with its own release

The record release/<service> is typed now, and its object can belong to another release of the service; it was shown with every release of that service.

--- a/admin/src/main/java/verbenahatch/admin/AdminPlugin.java
+++ b/admin/src/main/java/verbenahatch/admin/AdminPlugin.java
@@ -26,13 +26,7 @@
   @Override
   public Set<Class<?>> requires() {
     return Set.of(
-        Settings.class,
-        ObjectStore.class,
-        Fleet.class,
-        Facts.class,
-        ConfigView.class,
-        Keys.class,
-        verbenahatch.fleet.Readiness.class);
+        Settings.class, ObjectStore.class, Fleet.class, Facts.class, ConfigView.class, Keys.class);
   }
 
   @Override
@@ -42,9 +36,6 @@
 
   @Override
   public void start(Kernel kernel) throws PluginException {
-    kernel
-        .readiness()
-        .register("fleet", kernel.require(verbenahatch.fleet.Readiness.class)::reason);
     Settings settings = kernel.require(Settings.class);
     try {
       AdminServer server = new AdminServer(kernel, settings, router(kernel, settings));
--- a/admin/src/main/java/verbenahatch/admin/Answer.java
+++ b/admin/src/main/java/verbenahatch/admin/Answer.java
@@ -6,6 +6,7 @@
 import verbenahatch.model.EnvironmentDocument;
 import verbenahatch.model.Fault;
 import verbenahatch.model.KeyRecord;
+import verbenahatch.release.ReleaseRecord;
 
 /** Names the bodies of answers; {@code docs/admin-api.md} describes them. */
 final class Answer {
@@ -65,7 +66,7 @@
   /** A planned release and what is known about its progress. */
   record Release(
       EnvironmentDocument.Release plan,
-      @Nullable Object record,
+      @Nullable ReleaseRecord record,
       long version,
       boolean halted,
       String reason) {}
--- a/admin/src/main/java/verbenahatch/admin/ReleaseCalls.java
+++ b/admin/src/main/java/verbenahatch/admin/ReleaseCalls.java
@@ -15,6 +15,7 @@
 import verbenahatch.model.EnvironmentDocument;
 import verbenahatch.model.EnvironmentDocument.Release;
 import verbenahatch.model.Fault;
+import verbenahatch.release.ReleaseRecord;
 import verbenahatch.store.StoreError;
 import verbenahatch.store.StoredObject;
 import verbenahatch.store.WatchBatch;
@@ -22,7 +23,6 @@
 /** Starts, watches and takes back releases. */
 final class ReleaseCalls {
 
-  private static final String PREFIX = "release/";
   private static final String HALTS = "status/halts";
 
   /** Watches that may wait at once; each holds a thread and counts as a call to the store. */
@@ -113,7 +113,9 @@
     }
     try {
       Result<WatchBatch, StoreError> batch =
-          objects.store().watch(PREFIX + service, after, Duration.ofMillis(waitMillis));
+          objects
+              .store()
+              .watch(ReleaseRecord.nameOf(service), after, Duration.ofMillis(waitMillis));
       return batch.isOk() ? Optional.empty() : Optional.of(JsonObjects.map(batch.error()));
     } finally {
       watches.release();
@@ -139,11 +141,14 @@
   }
 
   private Answer.Release describe(Release plan) {
-    Result<StoredObject, StoreError> found = objects.store().get(PREFIX + plan.service());
-    JsonNode record = found.isOk() ? tree(found.get().value()) : null;
+    Result<StoredObject, StoreError> found =
+        objects.store().get(ReleaseRecord.nameOf(plan.service()));
+    ReleaseRecord record = found.isOk() ? read(found.get().value()) : null;
+    // The object of a service holds its latest release only.
+    boolean isOwn = record != null && record.release().equals(plan.id());
     long version = found.isOk() ? found.get().version() : 0;
     String reason = haltReason(plan.id());
-    return new Answer.Release(plan, record, version, !reason.isEmpty(), reason);
+    return new Answer.Release(plan, isOwn ? record : null, version, !reason.isEmpty(), reason);
   }
 
   private boolean isHalted(String id) {
@@ -162,9 +167,9 @@
     return "";
   }
 
-  private static @Nullable JsonNode tree(byte[] value) {
+  private static @Nullable ReleaseRecord read(byte[] value) {
     try {
-      return Json.readTree(value);
+      return Json.read(value, ReleaseRecord.class);
     } catch (JsonException e) {
       return null;
     }
--- a/admin/src/test/java/verbenahatch/admin/AdminApiTest.java
+++ b/admin/src/test/java/verbenahatch/admin/AdminApiTest.java
@@ -6,7 +6,6 @@
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.time.Duration;
-import java.util.Map;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -16,6 +15,7 @@
 import verbenahatch.fleet.KeyCheck;
 import verbenahatch.fleet.Keys;
 import verbenahatch.kernel.Json;
+import verbenahatch.release.ReleaseRecord;
 import verbenahatch.standins.InMemoryObjectStore;
 import verbenahatch.standins.StoreFaults;
 
@@ -226,15 +226,19 @@
     assertEquals("releases[0].toVersion", faulty.body().at("/faults/0/path").asText());
     assertEquals(409, tester.call("POST", releases + "?seen=0", release.formatted("v2")).status());
     assertEquals(200, tester.call("POST", releases + "?seen=1", release.formatted("v2")).status());
-    byte[] record = Json.write(Map.of("generation", 1, "stage", 2));
+    byte[] record = Json.write(record("r1", 1, ReleaseRecord.State.RUNNING));
     long version = tester.store.put("release/catalogue", record, 0, "w1").get().version();
     final long start = System.nanoTime();
     Reply unchanged = tester.get(releases + "/r1?waitMillis=300&after=" + version);
     assertTrue(System.nanoTime() - start >= Duration.ofMillis(300).toNanos());
-    assertEquals(2, unchanged.body().at("/record/stage").asInt());
-    tester.store.put("release/catalogue", Json.write(Map.of("stage", 3)), version, "w2");
+    assertEquals("RUNNING", unchanged.body().at("/record/state").asText());
+    tester.store.put(
+        "release/catalogue", Json.write(record("r1", 2, ReleaseRecord.State.DONE)), version, "w2");
     Reply watched = tester.get(releases + "/r1?waitMillis=9000&after=" + version);
-    assertEquals(3, watched.body().at("/record/stage").asInt());
+    assertEquals("DONE", watched.body().at("/record/state").asText());
+    byte[] other = Json.write(record("r0", 3, ReleaseRecord.State.RUNNING));
+    tester.store.put("release/catalogue", other, watched.body().path("version").asLong(), "w3");
+    assertFalse(tester.get(releases + "/r1").body().has("record"));
     assertTrue(System.nanoTime() - start < Duration.ofSeconds(9).toNanos());
     Reply back = tester.call("POST", releases + "/r1/take-back?reason=dents", "");
     assertTrue(back.body().path("accepted").asBoolean(), back.toString());
@@ -256,6 +260,10 @@
     assertEquals(405, tester.call("PATCH", "/v1/status", "").status());
   }
 
+  private static ReleaseRecord record(String id, long generation, ReleaseRecord.State state) {
+    return new ReleaseRecord(generation, id, state, 1, 0.05, 0, "");
+  }
+
   private String workspace() throws Exception {
     return tester.get(PRODUCTION).body().at("/document/workspaces/0/name").asText();
   }
--- a/ctl/src/main/java/verbenahatch/ctl/ReleaseCommand.java
+++ b/ctl/src/main/java/verbenahatch/ctl/ReleaseCommand.java
@@ -75,11 +75,11 @@
         version = body.path("version").asLong();
         main().print(body);
       }
-      String status = body.path("record").path("status").asText("").toLowerCase(Locale.ROOT);
-      if (status.equals("done")) {
+      String state = body.path("record").path("state").asText("").toLowerCase(Locale.ROOT);
+      if (state.equals("done")) {
         return 0;
       }
-      if (isHalted || status.equals("reversed") || System.nanoTime() - end >= 0) {
+      if (isHalted || state.equals("reversed") || System.nanoTime() - end >= 0) {
         return CtlMain.REFUSED;
       }
       long leftMillis = TimeUnit.NANOSECONDS.toMillis(end - System.nanoTime());
--- a/ctl/src/test/java/verbenahatch/ctl/CtlMainTest.java
+++ b/ctl/src/test/java/verbenahatch/ctl/CtlMainTest.java
@@ -26,6 +26,7 @@
 import verbenahatch.admin.testing.SingleHost;
 import verbenahatch.kernel.Closer;
 import verbenahatch.kernel.Json;
+import verbenahatch.release.ReleaseRecord;
 import verbenahatch.standins.InMemoryObjectStore;
 import verbenahatch.standins.StoreFaults;
 
@@ -238,7 +239,8 @@
     assertEquals(0, ctl("release", "start", "production", release, "--seen", "1").code());
     assertTrue(ctl("release", "list", "production").out().contains("r1"));
     assertEquals(1, ctl("release", "watch", "production", "r1", "--for", "1").code());
-    store.put("release/catalogue", Json.write(Map.of("status", "done")), 0, "w1");
+    ReleaseRecord done = new ReleaseRecord(1, "r1", ReleaseRecord.State.DONE, 4, 1, 0, "");
+    store.put("release/catalogue", Json.write(done), 0, "w1");
     assertEquals(0, ctl("release", "watch", "production", "r1").code());
     long end = System.nanoTime() + PATIENCE_NANOS;
     while (!json("status").json().path("fresh").asBoolean() && System.nanoTime() - end < 0) {
