--- a/peer/src/main/java/verbenahatch/peer/testing/FakePeerLink.java
+++ b/peer/src/main/java/verbenahatch/peer/testing/FakePeerLink.java
@@ -1,7 +1,8 @@
 package verbenahatch.peer.testing;
 
 import java.time.Duration;
-import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
@@ -23,7 +24,10 @@
   private final FakePeerNetwork network;
   private final PeerAddress address;
   private final Map<MessageKind, PeerHandler> handlers = new ConcurrentHashMap<>();
-  private final Set<CompletableFuture<Result<byte[], PeerError>>> pending = new HashSet<>();
+
+  /** In order of sending, so that closing completes calls in the same order in every run. */
+  private final Set<CompletableFuture<Result<byte[], PeerError>>> pending = new LinkedHashSet<>();
+
   private final AtomicLong messagesSent = new AtomicLong();
   private final AtomicLong bytesSent = new AtomicLong();
   private volatile String incarnation;
@@ -161,9 +165,9 @@
   public void close() {
     closed = true;
     network.remove(this);
-    Set<CompletableFuture<Result<byte[], PeerError>>> open;
+    List<CompletableFuture<Result<byte[], PeerError>>> open;
     synchronized (pending) {
-      open = Set.copyOf(pending);
+      open = List.copyOf(pending);
       pending.clear();
     }
     open.forEach(answer -> answer.complete(Result.err(new PeerError.NoAnswer("link is closed"))));
--- a/peer/src/test/java/verbenahatch/peer/testing/FakePeerNetworkTest.java
+++ b/peer/src/test/java/verbenahatch/peer/testing/FakePeerNetworkTest.java
@@ -84,4 +84,18 @@
     callee.close();
     assertInstanceOf(PeerError.NotSent.class, call("x").join().error());
   }
+
+  /** Guards against runs with the same seed that differ in the order of failed calls. */
+  @Test
+  void closingCompletesCallsInOrderOfSending() {
+    List<Integer> expected = new ArrayList<>();
+    List<Integer> completed = new ArrayList<>();
+    for (int i = 0; i < 50; i++) {
+      int number = i;
+      expected.add(number);
+      var unused = call("x").thenRun(() -> completed.add(number));
+    }
+    caller.close();
+    assertEquals(expected, completed);
+  }
 }
