--- a/gateway/src/main/java/verbenahatch/gateway/GatewayServer.java
+++ b/gateway/src/main/java/verbenahatch/gateway/GatewayServer.java
@@ -2,6 +2,7 @@
 
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
 import java.time.Duration;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -30,6 +31,9 @@
   /** A caller that sends or takes nothing for this time loses its connection. */
   private static final long CALLER_IDLE_MILLIS = 60_000;
 
+  /** Waiting requests search again after this time even if this host frees no place. */
+  private static final long TICK_MILLIS = 20;
+
   private static final int MAX_HEADER_BYTES = 16 * 1024;
 
   /** Memory that idle buffers may keep, in bytes, on the heap and outside it. */
@@ -41,8 +45,11 @@
   private final Scheduler timer = new ScheduledExecutorScheduler("gateway-timer", true);
   private final ServerConnector connector;
   private final TargetClient client;
+  private final Submissions submissions;
   private final DataPath path;
   private final EntryAdvice advice;
+  private final LoadReports reports;
+  private volatile boolean closed;
 
   /**
    * Starts listening.
@@ -71,11 +78,14 @@
     server.addConnector(connector);
     client = new TargetClient(threads, timer, buffers);
     client.keepMessagesUnchanged();
-    path = new DataPath(context, client, metrics);
+    submissions = new Submissions(context);
+    path = new DataPath(context, client, timer, submissions, metrics);
     advice = new EntryAdvice(context);
     server.setHandler(new Entrance());
     server.setErrorHandler(new MalformedRequests());
     server.start();
+    reports = new LoadReports(context, path.targets(), client);
+    timer.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
     context.events().log(GatewayEvent.LISTENING, context.settings().callers().address(), port());
   }
 
@@ -94,8 +104,11 @@
   private final class Entrance extends Handler.Abstract.NonBlocking {
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
-      if (EntryAdvice.PATH.equals(request.getHttpURI().getCanonicalPath())) {
+      String canonicalPath = request.getHttpURI().getCanonicalPath();
+      if (EntryAdvice.PATH.equals(canonicalPath)) {
         advice.handle(request, response, callback);
+      } else if (Submissions.TICKET_PATH.equals(canonicalPath)) {
+        submissions.handle(request, response, callback);
       } else {
         path.handle(request, response, callback);
       }
@@ -131,9 +144,10 @@
     return path.running().count();
   }
 
-  /** Drops this host from entry advice; requests are still served. */
+  /** Drops this host from the entry advice of all hosts; requests are still served. */
   public void beginDrain() {
     advice.leave();
+    context.fleet().markLeaving();
     context.events().log(GatewayEvent.LEAVING, running());
   }
 
@@ -162,11 +176,41 @@
     context.events().log(GatewayEvent.DRAINED, running());
   }
 
+  private void tick() {
+    if (closed) {
+      return;
+    }
+    try {
+      path.tick();
+      reports.tick();
+      submissions.purge();
+    } finally {
+      timer.schedule(this::tick, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /**
+   * Stops gracefully: leaves the advice, serves until cached advice lapses, waits for running
+   * requests, and closes.
+   *
+   * @throws Exception if a part fails to close
+   */
+  public void stopGracefully() throws Exception {
+    beginDrain();
+    CountDownLatch lapsed = new CountDownLatch(1);
+    timer.schedule(lapsed::countDown, context.settings().adviceSeconds(), TimeUnit.SECONDS);
+    lapsed.await();
+    finishDrain(Duration.ofSeconds(context.settings().drainSeconds()));
+    close();
+  }
+
   @Override
   public void close() throws Exception {
+    closed = true;
     // Server and client share threads and timer, so neither stops them.
     server.stop();
     client.close();
+    submissions.close();
     timer.stop();
     threads.stop();
   }
--- a/gateway/src/test/java/verbenahatch/gateway/Fakes.java
+++ b/gateway/src/test/java/verbenahatch/gateway/Fakes.java
@@ -6,6 +6,7 @@
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -30,12 +31,13 @@
 
   static final class FakeFleet implements Fleet {
     volatile boolean fresh = true;
+    volatile boolean staleAtFirstByte;
     volatile List<Member> members;
     volatile Member self;
     final Set<String> lost = ConcurrentHashMap.newKeySet();
 
     FakeFleet(String host) {
-      self = member(host, "dakar", 0);
+      self = member(host, "dakar", host.hashCode() & 0xffff);
       members = List.of(self);
     }
 
@@ -67,7 +69,7 @@
 
     @Override
     public long freshNanosLeft() {
-      return fresh ? 1_000_000_000L : 0;
+      return fresh && !staleAtFirstByte ? 1_000_000_000L : 0;
     }
 
     @Override
@@ -87,11 +89,11 @@
   static final class FakeConfig implements ConfigView {
     volatile @Nullable EnvironmentDocument document;
     volatile Drains drains = Drains.NONE;
-    private volatile Consumer<EnvironmentDocument> listener = document -> {};
+    private final List<Consumer<EnvironmentDocument>> listeners = new CopyOnWriteArrayList<>();
 
     void adopt(EnvironmentDocument next) {
       document = next;
-      listener.accept(next);
+      listeners.forEach(listener -> listener.accept(next));
     }
 
     @Override
@@ -106,7 +108,7 @@
 
     @Override
     public void onChange(Consumer<EnvironmentDocument> next) {
-      listener = next;
+      listeners.add(next);
     }
   }
 
