--- /dev/null
+++ b/bench/src/main/java/verbenahatch/measure/entry/EntryPathMeasurement.java
@@ -0,0 +1,217 @@
+package verbenahatch.measure.entry;
+
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.lang.management.ManagementFactory;
+import java.lang.management.ThreadInfo;
+import java.lang.management.ThreadMXBean;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.Semaphore;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.ConcurrentHistogram;
+import org.HdrHistogram.Histogram;
+import org.eclipse.jetty.client.HttpClient;
+import verbenahatch.gateway.GatewayContext;
+import verbenahatch.gateway.GatewayServer;
+import verbenahatch.kernel.Clock;
+import verbenahatch.kernel.Closer;
+import verbenahatch.kernel.Events;
+import verbenahatch.kernel.ManualClock;
+import verbenahatch.measure.Figure;
+import verbenahatch.measure.Measurement;
+import verbenahatch.model.EnvironmentDocument;
+import verbenahatch.model.EnvironmentDocument.Access;
+import verbenahatch.model.EnvironmentDocument.Region;
+import verbenahatch.model.EnvironmentDocument.Route;
+import verbenahatch.model.EnvironmentDocument.Service;
+import verbenahatch.model.EnvironmentDocument.Target;
+import verbenahatch.model.EnvironmentDocument.Workspace;
+import verbenahatch.model.Settings;
+import verbenahatch.peer.PeerAddress;
+import verbenahatch.peer.testing.FakePeerNetwork;
+import verbenahatch.standins.InMemoryObjectStore;
+import verbenahatch.standins.target.Behaviour;
+import verbenahatch.standins.target.TargetOptions;
+import verbenahatch.standins.target.TargetServer;
+
+/**
+ * Measures what an entry host adds to a direct call, and how many requests a core carries.
+ *
+ * <p>Host, target and callers share one process and its cores; limits and keys cost nothing here.
+ * Calls go out at fixed times, alternately direct and through the host, and latency counts from the
+ * planned time.
+ */
+public final class EntryPathMeasurement implements Measurement {
+
+  private static final int RATE = 1_000;
+  private static final int WARM_UP_SECONDS = 5;
+  private static final int SECONDS = 10;
+  private static final int CONCURRENCY = 64;
+  private static final int SLOTS = 256;
+
+  @Override
+  public String name() {
+    return "entry-path";
+  }
+
+  @Override
+  public List<Figure> run(long seed) throws Exception {
+    try (Closer closer = new Closer()) {
+      TargetServer target =
+          closer.register(
+              new TargetServer(
+                  new TargetOptions("t", "127.0.0.1", 0, 0, "v1", SLOTS, 1_000, 0),
+                  Behaviour.healthy(0)));
+      GatewayServer host = closer.register(host(target.port()));
+      HttpClient callers = new HttpClient();
+      callers.setMaxConnectionsPerDestination(SLOTS);
+      callers.start();
+      closer.register(callers::stop);
+      String direct = "http://127.0.0.1:" + target.port() + "/listings";
+      String entry = "http://127.0.0.1:" + host.port() + "/listings";
+      openLoop(callers, direct, entry, WARM_UP_SECONDS);
+      List<Histogram> latency = openLoop(callers, direct, entry, SECONDS);
+      List<Figure> figures = new ArrayList<>();
+      for (int percentile : new int[] {50, 99}) {
+        double directMillis = latency.get(0).getValueAtPercentile(percentile) / 1e6;
+        double entryMillis = latency.get(1).getValueAtPercentile(percentile) / 1e6;
+        figures.add(Figure.info("direct-p" + percentile, directMillis, "ms"));
+        figures.add(Figure.info("entry-p" + percentile, entryMillis, "ms"));
+        figures.add(Figure.info("added-p" + percentile, entryMillis - directMillis, "ms"));
+      }
+      figures.add(Figure.info("requests-per-core", requestsPerCore(callers, entry), "1/s"));
+      return figures;
+    }
+  }
+
+  private static GatewayServer host(int targetPort) throws Exception {
+    Target target = new Target("t", "r", "z", "127.0.0.1", targetPort, "v1", SLOTS, 1_000);
+    EnvironmentDocument document =
+        new EnvironmentDocument(
+            "trial",
+            1,
+            List.of(new Region("r", List.of("z"), SLOTS)),
+            List.of(),
+            List.of(new Service("listings", "v1", List.of(target))),
+            List.of(
+                new Route(
+                    "listings",
+                    "listings",
+                    List.of("GET"),
+                    "/listings",
+                    Access.KEYED,
+                    true,
+                    5_000)),
+            List.of(new Workspace("all", 1e6, 1e6, 1)),
+            List.of(),
+            List.of());
+    Settings.Endpoint any = new Settings.Endpoint("127.0.0.1", 0);
+    Settings settings =
+        new Settings(
+            "e",
+            "r",
+            "z",
+            "trial",
+            any,
+            any,
+            any,
+            new Settings.Platform(List.of(), 1_000),
+            "0123456789abcdef",
+            Map.of(),
+            1,
+            1);
+    OpenModules open = new OpenModules(document);
+    GatewayContext context =
+        new GatewayContext(
+            settings,
+            new OneHost("e"),
+            open,
+            open,
+            open,
+            open,
+            new FakePeerNetwork(new ManualClock(), 1).open(new PeerAddress("127.0.0.1", 1), "e-1"),
+            new InMemoryObjectStore(),
+            Clock.system(),
+            Events.none());
+    return new GatewayServer(context, new PrometheusRegistry());
+  }
+
+  /** Returns the latency of direct calls and of calls through the host, in nanoseconds. */
+  private static List<Histogram> openLoop(
+      HttpClient callers, String direct, String entry, int seconds) throws InterruptedException {
+    List<Histogram> latency =
+        List.of(
+            new ConcurrentHistogram(TimeUnit.SECONDS.toNanos(30), 3),
+            new ConcurrentHistogram(TimeUnit.SECONDS.toNanos(30), 3));
+    int calls = seconds * RATE;
+    CountDownLatch ended = new CountDownLatch(calls);
+    long start = System.nanoTime();
+    for (int i = 0; i < calls; i++) {
+      long planned = start + i * (1_000_000_000L / RATE);
+      while (System.nanoTime() < planned) {
+        LockSupport.parkNanos(planned - System.nanoTime());
+      }
+      Histogram histogram = latency.get(i % 2);
+      request(callers, i % 2 == 0 ? direct : entry)
+          .send(
+              result -> {
+                if (result.isSucceeded() && result.getResponse().getStatus() == 200) {
+                  histogram.recordValue(System.nanoTime() - planned);
+                }
+                ended.countDown();
+              });
+    }
+    if (!ended.await(30, TimeUnit.SECONDS)) {
+      throw new IllegalStateException(ended.getCount() + " calls did not end");
+    }
+    for (Histogram histogram : latency) {
+      if (histogram.getTotalCount() < calls / 2) {
+        throw new IllegalStateException("only " + histogram.getTotalCount() + " calls succeeded");
+      }
+    }
+    return latency;
+  }
+
+  private static org.eclipse.jetty.client.Request request(HttpClient callers, String url) {
+    return callers
+        .newRequest(url)
+        .headers(headers -> headers.put("Authorization", "Bearer vh_measurement"));
+  }
+
+  /** Returns requests per second of processor time that the host's threads used. */
+  private static double requestsPerCore(HttpClient callers, String entry)
+      throws InterruptedException {
+    Semaphore places = new Semaphore(CONCURRENCY);
+    AtomicLong served = new AtomicLong();
+    double cpuBefore = hostCpuSeconds();
+    long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(WARM_UP_SECONDS);
+    while (System.nanoTime() < end) {
+      places.acquire();
+      request(callers, entry)
+          .send(
+              result -> {
+                if (result.isSucceeded() && result.getResponse().getStatus() == 200) {
+                  served.incrementAndGet();
+                }
+                places.release();
+              });
+    }
+    places.acquire(CONCURRENCY);
+    return served.get() / (hostCpuSeconds() - cpuBefore);
+  }
+
+  private static double hostCpuSeconds() {
+    ThreadMXBean threads = ManagementFactory.getThreadMXBean();
+    long nanos = 0;
+    for (ThreadInfo info : threads.getThreadInfo(threads.getAllThreadIds())) {
+      if (info != null && info.getThreadName().startsWith("gateway")) {
+        nanos += Math.max(0, threads.getThreadCpuTime(info.getThreadId()));
+      }
+    }
+    return nanos / 1e9;
+  }
+}
