--- a/gateway/src/main/java/verbenahatch/gateway/Submissions.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Submissions.java
@@ -134,7 +134,8 @@
       }
       workspace = valid.workspace();
     }
-    byte[] body = Json.write(new TicketBody(tickets.issue(workspace), tickets.timeToLiveMillis()));
+    final byte[] body =
+        Json.write(new TicketBody(tickets.issue(workspace), tickets.timeToLiveMillis()));
     response.setStatus(201);
     response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
     response.getHeaders().put(HttpHeader.CACHE_CONTROL, "no-store");
--- a/gateway/src/test/java/verbenahatch/gateway/FakeStore.java
+++ b/gateway/src/test/java/verbenahatch/gateway/FakeStore.java
@@ -44,7 +44,7 @@
   @Override
   public synchronized Result<StoredObject, StoreError> put(
       String name, byte[] value, long expectedVersion, String writeId) {
-    int count = puts.incrementAndGet();
+    final int count = puts.incrementAndGet();
     if (down) {
       return Result.err(new StoreError.Unavailable("down"));
     }
--- a/gateway/src/test/java/verbenahatch/gateway/GatewayServerTest.java
+++ b/gateway/src/test/java/verbenahatch/gateway/GatewayServerTest.java
@@ -287,10 +287,10 @@
               return ScriptedTarget.write(socket, ScriptedTarget.ok(head, "done"));
             }),
         "dakar");
-    CompletableFuture<HttpResponse<String>> slow =
+    final CompletableFuture<HttpResponse<String>> slow =
         gateway.http.sendAsync(gateway.keyed("/proofs/slow").build(), BodyHandlers.ofString());
     assertTrue(arrived.await(5, TimeUnit.SECONDS));
-    CompletableFuture<Void> stopping =
+    final CompletableFuture<Void> stopping =
         CompletableFuture.runAsync(
             () -> {
               try {
