--- /dev/null
+++ b/daemon/src/test/java/verbenahatch/daemon/TestFleet.java
@@ -0,0 +1,151 @@
+package verbenahatch.daemon;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import verbenahatch.kernel.Clock;
+import verbenahatch.kernel.Closer;
+import verbenahatch.kernel.Events;
+import verbenahatch.kernel.Json;
+import verbenahatch.model.EnvironmentDocument;
+import verbenahatch.model.EnvironmentDocument.Access;
+import verbenahatch.model.EnvironmentDocument.Link;
+import verbenahatch.model.EnvironmentDocument.Region;
+import verbenahatch.model.EnvironmentDocument.Route;
+import verbenahatch.model.EnvironmentDocument.Service;
+import verbenahatch.model.EnvironmentDocument.Target;
+import verbenahatch.model.EnvironmentDocument.Workspace;
+import verbenahatch.model.KeyHash;
+import verbenahatch.model.Settings;
+import verbenahatch.model.Settings.Endpoint;
+import verbenahatch.standins.InMemoryObjectStore;
+import verbenahatch.standins.PlatformServer;
+import verbenahatch.standins.target.Behaviour;
+import verbenahatch.standins.target.TargetOptions;
+import verbenahatch.standins.target.TargetServer;
+
+/** Runs three hosts, six targets and the platform in this process, talking over loopback. */
+final class TestFleet implements AutoCloseable {
+
+  static final String TOKEN = "test-operator-token";
+
+  private static final List<String> REGIONS = List.of("dakar", "thies", "saint-louis");
+  private static final List<String> SERVICES = List.of("catalogue", "order-desk");
+  private static final double WORK_MILLIS = 2;
+
+  final InMemoryObjectStore store = new InMemoryObjectStore();
+  final List<TargetServer> targets = new ArrayList<>();
+  final List<Host> hosts = new ArrayList<>();
+  private final List<Settings> settings = new ArrayList<>();
+  private final Closer closer = new Closer();
+
+  TestFleet(double rate, double burst) throws Exception {
+    PlatformServer platform = closer.register(new PlatformServer(0, store));
+    for (String service : SERVICES) {
+      for (String region : REGIONS) {
+        TargetOptions options =
+            new TargetOptions(service + "-" + region, "127.0.0.1", 0, 0, "v1", 6, 330, 0);
+        targets.add(closer.register(new TargetServer(options, Behaviour.healthy(WORK_MILLIS))));
+      }
+    }
+    byte[] document = Json.write(document(1, rate, burst));
+    store.put("environment/production", document, 0, "test-document");
+    for (String region : REGIONS) {
+      start(region, platform.url());
+    }
+  }
+
+  private void start(String region, String platform) throws Exception {
+    Settings own =
+        new Settings(
+            region + "-1",
+            region,
+            region + "-a",
+            "production",
+            endpoint(),
+            endpoint(),
+            endpoint(),
+            new Settings.Platform(List.of(platform), 2_000),
+            "test-fleet-secret",
+            Map.of(KeyHash.of(TOKEN), "tester"),
+            5,
+            1);
+    Host host = new Host(own, Clock.system(), Events.none());
+    hosts.add(closer.register(host));
+    settings.add(own);
+    host.start();
+  }
+
+  EnvironmentDocument document(long generation, double rate, double burst) {
+    List<Service> services = new ArrayList<>();
+    for (int s = 0; s < SERVICES.size(); s++) {
+      List<Target> own = new ArrayList<>();
+      for (int r = 0; r < REGIONS.size(); r++) {
+        TargetServer server = targets.get(s * REGIONS.size() + r);
+        own.add(
+            new Target(
+                server.options().id(),
+                REGIONS.get(r),
+                REGIONS.get(r) + "-a",
+                "127.0.0.1",
+                server.port(),
+                "v1",
+                6,
+                330));
+      }
+      services.add(new Service(SERVICES.get(s), "v1", own));
+    }
+    return new EnvironmentDocument(
+        "production",
+        generation,
+        REGIONS.stream().map(name -> new Region(name, List.of(name + "-a"), 12)).toList(),
+        links(),
+        services,
+        routes(),
+        List.of(new Workspace("north", rate, burst, 1)),
+        List.of(),
+        List.of());
+  }
+
+  private static List<Link> links() {
+    List<Link> links = new ArrayList<>();
+    for (String from : REGIONS) {
+      for (String to : REGIONS) {
+        if (!from.equals(to)) {
+          links.add(new Link(from, to, 280, 35));
+        }
+      }
+    }
+    return links;
+  }
+
+  private static List<Route> routes() {
+    return List.of(
+        new Route("proofs", "catalogue", List.of("GET"), "/catalogue", Access.OPEN, true, 5_000),
+        new Route("orders", "order-desk", List.of("GET"), "/orders", Access.KEYED, true, 5_000),
+        new Route(
+            "deposits", "order-desk", List.of("POST"), "/deposits", Access.KEYED, false, 5_000));
+  }
+
+  String entry(int host) {
+    return "http://127.0.0.1:" + settings.get(host).callers().port();
+  }
+
+  String admin(int host) {
+    return "http://127.0.0.1:" + settings.get(host).admin().port();
+  }
+
+  private static Endpoint endpoint() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new Endpoint("127.0.0.1", socket.getLocalPort());
+    }
+  }
+
+  @Override
+  public void close() throws Exception {
+    closer.close();
+  }
+}
--- a/standins/src/main/java/verbenahatch/standins/quickstart/QuickstartMain.java
+++ b/standins/src/main/java/verbenahatch/standins/quickstart/QuickstartMain.java
@@ -11,6 +11,7 @@
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
+import verbenahatch.standins.Caller;
 
 /**
  * Sends the requests of the quick start and compares the answers with the targets' own logs.
@@ -103,8 +104,8 @@
       String submission = "deposit-" + i;
       String first = entries.get(i % entries.size());
       String second = entries.get((i + 1) % entries.size());
-      expectServed(caller.post(first + path, key, submission), path, "quickstart");
-      Caller.Answer repeat = caller.post(second + path, key, submission);
+      expectServed(submit(caller, first + path, submission), path, "quickstart");
+      Caller.Answer repeat = submit(caller, second + path, submission);
       if (repeat.isServed()) {
         wrong("booking " + i + " was served twice");
       } else {
@@ -120,6 +121,13 @@
     }
   }
 
+  private Caller.Answer submit(Caller caller, String url, String submission)
+      throws InterruptedException {
+    Map<String, String> headers = new HashMap<>(Caller.credentials(key));
+    headers.put("Idempotency-Key", submission);
+    return caller.send("POST", url, headers, "{}");
+  }
+
   private Map<String, Integer> runs(Caller caller) throws InterruptedException {
     Map<String, Integer> runs = new HashMap<>();
     for (String target : targets) {
