--- a/bench/src/main/java/verbenahatch/measure/limits/LimitsMeasurement.java
+++ b/bench/src/main/java/verbenahatch/measure/limits/LimitsMeasurement.java
@@ -271,7 +271,7 @@
       before[i] = simulation.hosts().get(i).link().bytesSent();
       messagesBefore += simulation.hosts().get(i).link().messagesSent();
     }
-    long callsBefore = simulation.store().calls();
+    final long callsBefore = simulation.store().calls();
     load.run(COST_SPAN, REQUESTS_PER_HOST * hosts, even(hosts));
     long sum = 0;
     long most = 0;
