Refuse requests that come after a stopping host was idle, and wait until advice drops it

Cause: in the scenario of a planned stop one request got 502 target-failed. The stop waited until no request ran and then closed the client to the targets, but callers with kept connections went on sending. Other hosts also advised the leaving host until the news of its leaving reached them, so callers held advice longer than the stop waited. Ruled out: the target (its log shows no failure), the retry budget (the client was closed). Change: the stop waits 2 s more than the time to live of advice, answers carry Connection: close while the host leaves, and requests that come after that are refused as host-stopping (not-run). A request is counted before that check, so the stop waits for it or refuses it.

--- a/bench/src/main/java/verbenahatch/measure/entry/EntryPathMeasurement.java
+++ b/bench/src/main/java/verbenahatch/measure/entry/EntryPathMeasurement.java
@@ -70,7 +70,7 @@
               new TargetServer(
                   new TargetOptions("t", "127.0.0.1", 0, 0, "v1", SLOTS, 1_000, 0),
                   Behaviour.healthy(0)));
-      GatewayServer host = closer.register(host(target.port()));
+      final GatewayServer host = closer.register(host(target.port()));
       HttpClient callers = new HttpClient();
       callers.setMaxConnectionsPerDestination(SLOTS);
       // Calls that wait in this process count with their latency and are not refused.
--- a/daemon/src/test/java/verbenahatch/daemon/TestFleet.java
+++ b/daemon/src/test/java/verbenahatch/daemon/TestFleet.java
@@ -146,6 +146,8 @@
 
   @Override
   public void close() throws Exception {
+    // Each graceful stop waits for cached advice to lapse, so the hosts stop in parallel.
+    hosts.parallelStream().forEach(Host::close);
     closer.close();
   }
 }
--- a/gateway/src/main/java/verbenahatch/gateway/GatewayServer.java
+++ b/gateway/src/main/java/verbenahatch/gateway/GatewayServer.java
@@ -7,6 +7,9 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.eclipse.jetty.http.HttpCompliance;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.http2.server.HTTP2CServerConnectionFactory;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
@@ -28,6 +31,12 @@
   /** Nothing on the data path blocks, so a few threads per core are enough. */
   private static final int MAX_THREADS = 64;
 
+  /**
+   * Time until every host has dropped a leaving host from its advice: a write of the members and
+   * two pulses of 300 ms, with room for a slow store.
+   */
+  private static final long LEAVE_SPREAD_MILLIS = 2_000;
+
   /** A caller that sends or takes nothing for this time loses its connection. */
   private static final long CALLER_IDLE_MILLIS = 60_000;
 
@@ -50,6 +59,7 @@
   private final EntryAdvice advice;
   private final LoadReports reports;
   private volatile boolean closed;
+  private volatile boolean refusing;
 
   /**
    * Starts listening.
@@ -104,6 +114,26 @@
   private final class Entrance extends Handler.Abstract.NonBlocking {
     @Override
     public boolean handle(Request request, Response response, Callback callback) {
+      RunningRequests running = path.running();
+      // Counted before the check, so that a stop either refuses a request or waits for it.
+      running.enter();
+      try {
+        dispatch(request, response, callback);
+      } finally {
+        running.leave();
+      }
+      return true;
+    }
+
+    private void dispatch(Request request, Response response, Callback callback) {
+      if (advice.isLeaving() && isHttp11(request)) {
+        // A kept connection could carry a request while the server closes it.
+        response.getHeaders().put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+      }
+      if (refusing) {
+        Refusals.write(response, callback, Refusal.HOST_STOPPING, 0);
+        return;
+      }
       String canonicalPath = request.getHttpURI().getCanonicalPath();
       if (EntryAdvice.PATH.equals(canonicalPath)) {
         advice.handle(request, response, callback);
@@ -112,7 +142,10 @@
       } else {
         path.handle(request, response, callback);
       }
-      return true;
+    }
+
+    private static boolean isHttp11(Request request) {
+      return request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1;
     }
   }
 
@@ -161,12 +194,13 @@
   }
 
   /**
-   * Stops accepting connections and waits for running requests.
+   * Refuses new requests as not run, stops accepting connections and waits for running requests.
    *
    * @param limit the longest time to wait
    * @throws InterruptedException if the thread is interrupted
    */
   public void finishDrain(Duration limit) throws InterruptedException {
+    refusing = true;
     connector.shutdown();
     try {
       path.running().whenIdle().get(limit.toMillis(), TimeUnit.MILLISECONDS);
@@ -198,7 +232,9 @@
   public void stopGracefully() throws Exception {
     beginDrain();
     CountDownLatch lapsed = new CountDownLatch(1);
-    timer.schedule(lapsed::countDown, context.settings().adviceSeconds(), TimeUnit.SECONDS);
+    long waitMillis =
+        TimeUnit.SECONDS.toMillis(context.settings().adviceSeconds()) + LEAVE_SPREAD_MILLIS;
+    timer.schedule(lapsed::countDown, waitMillis, TimeUnit.MILLISECONDS);
     lapsed.await();
     finishDrain(Duration.ofSeconds(context.settings().drainSeconds()));
     close();
