--- a/bench/src/main/java/verbenahatch/measure/FleetMeasurement.java
+++ b/bench/src/main/java/verbenahatch/measure/FleetMeasurement.java
@@ -59,7 +59,8 @@
       figures.add(Figure.info("pulse-messages" + at, cost.messages, "messages/s/host"));
       figures.add(
           Figure.atMost("pulse-bytes" + at, cost.bytes, "bytes/s/host", MAX_BYTES_PER_SECOND));
-      figures.add(Figure.info("pulse-bytes-most" + at, cost.most, "bytes/s/host"));
+      figures.add(
+          Figure.atMost("pulse-bytes-most" + at, cost.most, "bytes/s/host", MAX_BYTES_PER_SECOND));
       figures.add(Figure.atMost("pulse-cpu" + at, cost.cpu, "%core/host", MAX_CORE_PERCENT));
       figures.add(Figure.info("fleet-store-calls" + at, cost.storeCalls, "calls/s"));
       Random random = new Random(seed);
