Keep what describes an event in one record

Cause: eight event enums repeated the same three fields and accessors (25 lines each). Change: EventCode.Definition holds number, level and template; the accessors are default methods. Before and after: 147 lines removed, 57 added; the catalogue test compares the same values.

--- a/admin/src/main/java/verbenahatch/admin/AdminEvent.java
+++ b/admin/src/main/java/verbenahatch/admin/AdminEvent.java
@@ -13,28 +13,14 @@
   /** A call failed in an unforeseen way. */
   CALL_FAILED(8004, Level.ERROR, "{} {} failed: {}");
 
-  private final int number;
-  private final Level level;
-  private final String template;
+  private final Definition definition;
 
   AdminEvent(int number, Level level, String template) {
-    this.number = number;
-    this.level = level;
-    this.template = template;
+    this.definition = new Definition(number, level, template);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String template() {
-    return template;
+  public Definition definition() {
+    return definition;
   }
 }
--- a/daemon/src/main/java/verbenahatch/daemon/DaemonEvent.java
+++ b/daemon/src/main/java/verbenahatch/daemon/DaemonEvent.java
@@ -13,28 +13,14 @@
   /** A part of the process failed to close. */
   STOP_FAILED(9005, Level.ERROR, "host {} stopped with a failure: {}");
 
-  private final int number;
-  private final Level level;
-  private final String template;
+  private final Definition definition;
 
   DaemonEvent(int number, Level level, String template) {
-    this.number = number;
-    this.level = level;
-    this.template = template;
+    this.definition = new Definition(number, level, template);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String template() {
-    return template;
+  public Definition definition() {
+    return definition;
   }
 }
--- a/fleet/src/main/java/verbenahatch/fleet/FleetEvent.java
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetEvent.java
@@ -49,28 +49,14 @@
   /** This host stops before it could leave the members; others will fence it. */
   LEAVE_INCOMPLETE(3522, Level.WARN, "stopping while still a member as {}");
 
-  private final int number;
-  private final Level level;
-  private final String template;
+  private final Definition definition;
 
   FleetEvent(int number, Level level, String template) {
-    this.number = number;
-    this.level = level;
-    this.template = template;
+    this.definition = new Definition(number, level, template);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String template() {
-    return template;
+  public Definition definition() {
+    return definition;
   }
 }
--- a/gateway/src/main/java/verbenahatch/gateway/GatewayEvent.java
+++ b/gateway/src/main/java/verbenahatch/gateway/GatewayEvent.java
@@ -19,28 +19,14 @@
   /** A target fails more than others and gets no work for a time. */
   TARGET_EJECTED(7007, Level.WARN, "target {} of service {} ejected after failures");
 
-  private final int number;
-  private final Level level;
-  private final String template;
+  private final Definition definition;
 
   GatewayEvent(int number, Level level, String template) {
-    this.number = number;
-    this.level = level;
-    this.template = template;
+    this.definition = new Definition(number, level, template);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String template() {
-    return template;
+  public Definition definition() {
+    return definition;
   }
 }
--- a/kernel/src/main/java/verbenahatch/kernel/EventCode.java
+++ b/kernel/src/main/java/verbenahatch/kernel/EventCode.java
@@ -18,24 +18,46 @@
     ERROR
   }
 
+  /**
+   * Describes an event.
+   *
+   * @param number a positive number inside the range of the module
+   * @param level the severity
+   * @param template the message with one {@code {}} per argument
+   */
+  record Definition(int number, Level level, String template) {}
+
+  /**
+   * Returns what describes the event.
+   *
+   * @return the definition
+   */
+  Definition definition();
+
   /**
    * Returns the number of the event.
    *
    * @return a positive number inside the range of the module
    */
-  int number();
+  default int number() {
+    return definition().number();
+  }
 
   /**
    * Returns the severity.
    *
    * @return the severity
    */
-  Level level();
+  default Level level() {
+    return definition().level();
+  }
 
   /**
    * Returns the message with one {@code {}} per argument.
    *
    * @return the template
    */
-  String template();
+  default String template() {
+    return definition().template();
+  }
 }
--- a/kernel/src/main/java/verbenahatch/kernel/KernelEvent.java
+++ b/kernel/src/main/java/verbenahatch/kernel/KernelEvent.java
@@ -11,28 +11,14 @@
   /** A periodic task threw; it runs again at its next time. */
   TASK_FAILED(1004, Level.ERROR, "task {} failed: {}");
 
-  private final int number;
-  private final Level level;
-  private final String template;
+  private final Definition definition;
 
   KernelEvent(int number, Level level, String template) {
-    this.number = number;
-    this.level = level;
-    this.template = template;
+    this.definition = new Definition(number, level, template);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String template() {
-    return template;
+  public Definition definition() {
+    return definition;
   }
 }
--- a/limits/src/main/java/verbenahatch/limits/LimitsEvent.java
+++ b/limits/src/main/java/verbenahatch/limits/LimitsEvent.java
@@ -23,28 +23,14 @@
   /** A host has not closed an epoch yet, so the group has no home. */
   CLOSE_WAITING(4009, Level.WARN, "limit group {}: incarnation {} has not closed epoch {}");
 
-  private final int number;
-  private final Level level;
-  private final String template;
+  private final Definition definition;
 
   LimitsEvent(int number, Level level, String template) {
-    this.number = number;
-    this.level = level;
-    this.template = template;
+    this.definition = new Definition(number, level, template);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String template() {
-    return template;
+  public Definition definition() {
+    return definition;
   }
 }
--- a/peer/src/main/java/verbenahatch/peer/PeerEvent.java
+++ b/peer/src/main/java/verbenahatch/peer/PeerEvent.java
@@ -13,28 +13,14 @@
   /** A connection gave no sign of life while calls timed out; the next call opens a new one. */
   CONNECTION_SILENT(3004, Level.WARN, "connection to {} closed after {} timeouts in silence");
 
-  private final int number;
-  private final Level level;
-  private final String template;
+  private final Definition definition;
 
   PeerEvent(int number, Level level, String template) {
-    this.number = number;
-    this.level = level;
-    this.template = template;
+    this.definition = new Definition(number, level, template);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String template() {
-    return template;
+  public Definition definition() {
+    return definition;
   }
 }
--- a/release/src/main/java/verbenahatch/release/ReleaseEvent.java
+++ b/release/src/main/java/verbenahatch/release/ReleaseEvent.java
@@ -19,28 +19,14 @@
   /** A record or a report could not be read. */
   UNREADABLE(6007, Level.ERROR, "release data of {} is unreadable: {}");
 
-  private final int number;
-  private final Level level;
-  private final String template;
+  private final Definition definition;
 
   ReleaseEvent(int number, Level level, String template) {
-    this.number = number;
-    this.level = level;
-    this.template = template;
+    this.definition = new Definition(number, level, template);
   }
 
   @Override
-  public int number() {
-    return number;
-  }
-
-  @Override
-  public Level level() {
-    return level;
-  }
-
-  @Override
-  public String template() {
-    return template;
+  public Definition definition() {
+    return definition;
   }
 }
