Free the slot of a cancelled request before it is counted in the stand-in target

Cause: TargetServerTest.noticesThatTheOtherSideIsGone failed once in the whole check (1 slot in use where 0 is expected). The stand-in counted the cancelled request before it freed the slot, on another thread than the test, which reads the slots as soon as the count is 1. Change: the slot is freed first; the test stays as it is.

--- a/standins/src/main/java/verbenahatch/standins/target/Work.java
+++ b/standins/src/main/java/verbenahatch/standins/target/Work.java
@@ -179,10 +179,12 @@
 
   private void cancelled() {
     if (over.compareAndSet(false, true)) {
-      if (holdsSlot.get()) {
+      boolean ran = holdsSlot.get();
+      release();
+      // Counted last, so that a reader of the count finds the slot free.
+      if (ran) {
         target.log().countCancelled();
       }
-      release();
       callback.failed(new IOException("the other side closed the connection"));
     }
   }
