Serve the whole path on the platform: steering module and adapter

Cause: the product needs a majority of members and targets in the operator's document; the platform has neither. The new module decides and keeps state, platform/ translates.

--- a/gateway/src/main/java/verbenahatch/gateway/Exchange.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Exchange.java
@@ -16,6 +16,7 @@
 import verbenahatch.gateway.submission.Claim;
 import verbenahatch.gateway.submission.ClaimResult;
 import verbenahatch.gateway.submission.Settlement;
+import verbenahatch.http.CallerWatch;
 import verbenahatch.limits.Admission;
 import verbenahatch.model.EnvironmentDocument;
 import verbenahatch.model.EnvironmentDocument.Access;
--- a/gateway/src/main/java/verbenahatch/gateway/TargetClient.java
+++ b/gateway/src/main/java/verbenahatch/gateway/TargetClient.java
@@ -8,6 +8,7 @@
 import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.Scheduler;
+import verbenahatch.http.IdleConnections;
 
 /**
  * Opens connections to targets.
--- a/gateway/src/main/java/verbenahatch/gateway/CallerWatch.java
+++ b/http/src/main/java/verbenahatch/http/CallerWatch.java
@@ -1,4 +1,4 @@
-package verbenahatch.gateway;
+package verbenahatch.http;
 
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -19,7 +19,7 @@
  * <p>The server library does not read between a request and its answer. The watch reads one byte at
  * most; a byte of a pipelined request goes back to the connection.
  */
-final class CallerWatch implements Callback {
+public final class CallerWatch implements Callback {
 
   private final EndPoint endPoint;
   private final Connection connection;
@@ -39,7 +39,7 @@
    * @param onGone called at most once if the caller goes away
    * @return the watch, to be ended before the answer is completed; null if none is needed
    */
-  static @Nullable CallerWatch begin(Request request, Consumer<Throwable> onGone) {
+  public static @Nullable CallerWatch begin(Request request, Consumer<Throwable> onGone) {
     if (request.getConnectionMetaData().getHttpVersion() != HttpVersion.HTTP_1_1) {
       return null;
     }
@@ -58,7 +58,7 @@
    * <p>Waits while the watch moves a byte: the next request of the caller may be arriving, and the
    * server must not read on before that byte is back.
    */
-  void end() {
+  public void end() {
     synchronized (this) {
       if (over) {
         return;
--- a/gateway/src/main/java/verbenahatch/gateway/IdleConnections.java
+++ b/http/src/main/java/verbenahatch/http/IdleConnections.java
@@ -1,4 +1,4 @@
-package verbenahatch.gateway;
+package verbenahatch.http;
 
 import java.util.ArrayList;
 import java.util.List;
@@ -10,7 +10,7 @@
 import org.eclipse.jetty.client.Origin;
 
 /** Closes pooled connections that no request uses. */
-final class IdleConnections {
+public final class IdleConnections {
 
   private IdleConnections() {}
 
@@ -22,7 +22,7 @@
    * @param port the TCP port
    * @return how many were closed
    */
-  static int close(HttpClient client, String address, int port) {
+  public static int close(HttpClient client, String address, int port) {
     int closed = 0;
     for (Destination destination : client.getDestinations()) {
       Origin.Address target = destination.getOrigin().getAddress();
--- /dev/null
+++ b/steering/src/main/java/verbenahatch/steering/DocumentIndex.java
@@ -0,0 +1,82 @@
+package verbenahatch.steering;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
+import org.jspecify.annotations.Nullable;
+import verbenahatch.model.KeyHash;
+import verbenahatch.steering.model.SteeringDocument;
+import verbenahatch.steering.model.SteeringDocument.RoutePart;
+import verbenahatch.steering.model.SteeringDocument.SteeringRoute;
+import verbenahatch.steering.model.SteeringDocument.SteeringWorkspace;
+
+/** Finds routes and workspaces of one document. Immutable but for the counters of split routes. */
+final class DocumentIndex {
+
+  /** The golden ratio's fraction spreads a counter evenly over parts of any weight. */
+  private static final double GOLDEN_FRACTION = 0.6180339887498949;
+
+  final SteeringDocument document;
+  private final Map<String, List<SteeringRoute>> byHost = new HashMap<>();
+  private final Map<String, SteeringWorkspace> byKeyHash = new HashMap<>();
+  private final Map<String, AtomicLong> counters = new HashMap<>();
+
+  DocumentIndex(SteeringDocument document) {
+    this.document = document;
+    for (SteeringRoute route : document.routes()) {
+      byHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
+      if (route.parts().size() > 1) {
+        counters.put(route.name(), new AtomicLong(Hashing.of(route.name()) >>> 40));
+      }
+    }
+    Comparator<SteeringRoute> longestFirst =
+        Comparator.comparingInt((SteeringRoute route) -> route.pathPrefix().length()).reversed();
+    byHost.values().forEach(list -> list.sort(longestFirst));
+    for (SteeringWorkspace workspace : document.workspaces()) {
+      workspace.keyHashes().forEach(hash -> byKeyHash.put(hash, workspace));
+    }
+  }
+
+  /** Finds the route with the longest prefix, null if there is none. */
+  @Nullable SteeringRoute route(String host, String path) {
+    for (SteeringRoute route : byHost.getOrDefault(host, List.of())) {
+      if (path.startsWith(route.pathPrefix())) {
+        return route;
+      }
+    }
+    return null;
+  }
+
+  /** Finds the workspace that holds a key, null if none does. */
+  @Nullable SteeringWorkspace workspace(String key) {
+    return byKeyHash.get(KeyHash.of(key));
+  }
+
+  boolean needsKeys() {
+    return !document.workspaces().isEmpty();
+  }
+
+  /** Picks the service of a request so that the parts keep their weights also over few requests. */
+  String nextService(SteeringRoute route) {
+    List<RoutePart> parts = route.parts();
+    AtomicLong counter = counters.get(route.name());
+    if (counter == null) {
+      return parts.get(0).service();
+    }
+    double sum = 0;
+    for (RoutePart part : parts) {
+      sum += part.weight();
+    }
+    double point = (counter.getAndIncrement() * GOLDEN_FRACTION) % 1.0 * sum;
+    for (RoutePart part : parts) {
+      point -= part.weight();
+      if (point < 0) {
+        return part.service();
+      }
+    }
+    return parts.get(parts.size() - 1).service();
+  }
+}
--- /dev/null
+++ b/steering/src/main/java/verbenahatch/steering/SteeringHost.java
@@ -0,0 +1,137 @@
+package verbenahatch.steering;
+
+import java.security.SecureRandom;
+import java.time.Duration;
+import java.util.HexFormat;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import verbenahatch.kernel.Clock;
+import verbenahatch.kernel.Events;
+import verbenahatch.kernel.Kernel;
+import verbenahatch.peer.generated.HostBeat;
+import verbenahatch.steering.model.PlatformStore;
+import verbenahatch.steering.model.SteeringSettings;
+import verbenahatch.steering.model.WireProtocol;
+
+/** Runs the parts of one steering host in this process. */
+public final class SteeringHost implements AutoCloseable {
+
+  /** Period of the division of quotas and of checks on peers and releases. */
+  private static final Duration TICK = Duration.ofMillis(250);
+
+  /** Time after SIGTERM for which new requests are served, so that cached directory answers end. */
+  private static final long SERVE_MILLIS = 3_500;
+
+  /** Time before the platform kills the process for which the end is kept free. */
+  private static final long KILL_MARGIN_MILLIS = 400;
+
+  private static final int INCARNATION_BYTES = 6;
+
+  private final Kernel kernel;
+  private final SteeringSettings settings;
+  private final SteeringState state;
+  private final EntryServer server;
+  private final PeerLink peers;
+  private final Thread maintenance;
+  private volatile boolean closed;
+
+  /**
+   * Starts a host.
+   *
+   * @param settings checked settings
+   * @param store the platform's store
+   * @param wire the fields and messages of the platform
+   * @param clock the clock of the process
+   * @param events the log of the process
+   * @throws Exception if an address cannot be used
+   */
+  public SteeringHost(
+      SteeringSettings settings, PlatformStore store, WireProtocol wire, Clock clock, Events events)
+      throws Exception {
+    this.settings = settings;
+    byte[] random = new byte[INCARNATION_BYTES];
+    new SecureRandom().nextBytes(random);
+    String process = HexFormat.of().formatHex(random);
+    kernel = new Kernel(clock, events);
+    state = new SteeringState(clock, events, settings, store, process);
+    state.start();
+    server = new EntryServer(state, wire, kernel);
+    peers = new PeerLink(state, settings);
+    kernel.state().register("steering", this::view);
+    kernel.repeat("steering", TICK, this::tick);
+    maintenance = new Thread(this::maintain, "maintenance");
+    maintenance.setDaemon(true);
+    maintenance.start();
+    events.log(SteeringEvent.STARTED, settings.host(), process, settings.zone(), settings.region());
+  }
+
+  private void tick() {
+    state.tick();
+    server.applyLimits();
+  }
+
+  private void maintain() {
+    while (!closed) {
+      try {
+        state.maintain();
+        TimeUnit.MILLISECONDS.sleep(TICK.toMillis());
+      } catch (InterruptedException e) {
+        return;
+      } catch (RuntimeException e) {
+        state.events.log(SteeringEvent.TASK_FAILED, "maintenance", e.toString());
+      }
+    }
+  }
+
+  private Map<String, Object> view() {
+    Map<String, Object> view = new LinkedHashMap<>();
+    DocumentIndex document = state.document();
+    view.put("document", document == null ? 0 : document.document.version());
+    view.put("ready", state.isReady());
+    view.put("leaving", state.isLeaving());
+    view.put("storeReachable", state.storeReachable());
+    view.put("targets", state.targets.size());
+    view.put("evacuated", state.targets.evacuated());
+    view.put("releases", state.releases.view());
+    view.put("hosts", state.hosts.live().stream().map(HostBeat::getHost).sorted().toList());
+    view.put("registeredHosts", state.hosts.count());
+    view.put("running", server.running());
+    return view;
+  }
+
+  /**
+   * Takes over settings that may change while the process runs: the seeds.
+   *
+   * @param changed checked settings
+   */
+  public void reload(SteeringSettings changed) {
+    peers.useSeeds(changed.seeds());
+  }
+
+  /**
+   * Stops gracefully: leaves the directory, serves until cached answers of the directory end, waits
+   * for running requests, and closes.
+   */
+  @Override
+  public synchronized void close() throws Exception {
+    if (closed) {
+      return;
+    }
+    state.events.log(SteeringEvent.STOPPING, settings.host(), server.running());
+    state.leave();
+    peers.beatNow();
+    state.deregister();
+    TimeUnit.MILLISECONDS.sleep(SERVE_MILLIS);
+    server.refuse();
+    long rest = settings.bounds().stopMillis() - SERVE_MILLIS - KILL_MARGIN_MILLIS;
+    server.awaitIdle(Math.max(0, rest));
+    closed = true;
+    state.events.log(SteeringEvent.STOPPED, settings.host(), server.running());
+    maintenance.interrupt();
+    peers.close();
+    server.close();
+    state.close();
+    kernel.close();
+  }
+}
--- /dev/null
+++ b/steering/src/main/java/verbenahatch/steering/SteeringMetrics.java
@@ -0,0 +1,42 @@
+package verbenahatch.steering;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+
+/** Holds the metrics of the request path. */
+final class SteeringMetrics {
+
+  final Counter requests;
+  final Counter attempts;
+  final Counter retries;
+  final Histogram seconds;
+
+  SteeringMetrics(PrometheusRegistry registry) {
+    requests =
+        Counter.builder()
+            .name("verbenahatch_steering_requests_total")
+            .help("Requests of callers by outcome.")
+            .labelNames("outcome")
+            .register(registry);
+    attempts =
+        Counter.builder()
+            .name("verbenahatch_steering_attempts_total")
+            .help("Requests sent to targets by service and outcome.")
+            .labelNames("service", "outcome")
+            .register(registry);
+    retries =
+        Counter.builder()
+            .name("verbenahatch_steering_retries_total")
+            .help("Requests sent to a further target, and those that the budget left out.")
+            .labelNames("service", "outcome")
+            .register(registry);
+    seconds =
+        Histogram.builder()
+            .name("verbenahatch_steering_request_seconds")
+            .help("Time from the first byte of a request to its answer.")
+            .classicOnly()
+            .classicUpperBounds(.05, .1, .2, .4, .8, 1.6, 3.2, 6.4)
+            .register(registry);
+  }
+}
--- /dev/null
+++ b/steering/src/main/java/verbenahatch/steering/SteeringState.java
@@ -0,0 +1,311 @@
+package verbenahatch.steering;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeSet;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import org.jspecify.annotations.Nullable;
+import verbenahatch.kernel.Clock;
+import verbenahatch.kernel.Closer;
+import verbenahatch.kernel.Events;
+import verbenahatch.kernel.Result;
+import verbenahatch.peer.generated.HostBeat;
+import verbenahatch.steering.model.Feed.Changes;
+import verbenahatch.steering.model.HostRecord;
+import verbenahatch.steering.model.PlatformStore;
+import verbenahatch.steering.model.PlatformStore.WriteError;
+import verbenahatch.steering.model.ReleaseOrder;
+import verbenahatch.steering.model.SteeringDocument;
+import verbenahatch.steering.model.SteeringDocument.SteeringService;
+import verbenahatch.steering.model.SteeringSettings;
+import verbenahatch.steering.model.TargetRecord;
+
+/** Holds what this host believes, fed by the store and by beats. Thread-safe. */
+final class SteeringState implements AutoCloseable {
+
+  /** A host that stays silent for this time loses its record. */
+  private static final long FORGET_HOST_MILLIS = 20_000;
+
+  /** A version that a peer knows for this time and this host does not shows a stale watch. */
+  private static final long STALE_WATCH_MILLIS = 600;
+
+  /** Pause after a write of the own record, in which its event arrives. */
+  private static final long WRITE_PAUSE_MILLIS = 2_000;
+
+  final Clock clock;
+  final Events events;
+  final SteeringSettings settings;
+  final HostTable hosts;
+  final TargetTable targets;
+  final QuotaTable quotas;
+  final ReleaseTable releases;
+  final TargetSelector selector;
+  private final PlatformStore store;
+  private final AtomicReference<@Nullable DocumentIndex> document = new AtomicReference<>();
+  private final Closer closer = new Closer();
+  private final Follower<SteeringDocument> documentFeed;
+  private final Follower<TargetRecord> targetFeed;
+  private final Follower<ReleaseOrder> releaseFeed;
+  private final Follower<String> evacuationFeed;
+  private final Follower<HostRecord> hostFeed;
+  private final Map<String, HostRecord> hostRecords = new HashMap<>();
+  private final Set<String> evacuated = new TreeSet<>();
+  private final HostRecord self;
+  private final long startNanos;
+  private volatile boolean leaving;
+  private volatile boolean registered;
+  private long nextWriteNanos;
+  private long staleDocumentNanos;
+  private long staleTargetsNanos;
+
+  SteeringState(
+      Clock clock, Events events, SteeringSettings settings, PlatformStore store, String process) {
+    this.clock = clock;
+    this.events = events;
+    this.settings = settings;
+    this.store = store;
+    this.startNanos = clock.nanoTime();
+    this.nextWriteNanos = startNanos;
+    hosts = new HostTable(clock, events, settings, process);
+    targets = new TargetTable(clock, events, settings.regionsByZone());
+    quotas = new QuotaTable(clock, hosts);
+    releases = new ReleaseTable(clock, events, hosts, settings.bounds());
+    selector = new TargetSelector(clock, targets, hosts);
+    self =
+        new HostRecord(
+            settings.host(),
+            process,
+            settings.zone(),
+            settings.region(),
+            settings.callers(),
+            settings.internalAddress() + ":" + settings.peerPort());
+    documentFeed = follower("document", store.documents(), this::applyDocuments);
+    targetFeed =
+        closer.register(
+            new Follower<>(
+                "targets",
+                store.targets(),
+                clock,
+                events,
+                this::applyTargets,
+                reachable -> {
+                  if (reachable) {
+                    targets.registryReturned();
+                  }
+                }));
+    releaseFeed = follower("releases", store.releases(), this::applyReleases);
+    evacuationFeed = follower("evacuations", store.evacuations(), this::applyEvacuations);
+    hostFeed = follower("hosts", store.hosts(), this::applyHosts);
+  }
+
+  private <T> Follower<T> follower(
+      String kind,
+      verbenahatch.steering.model.Feed<T> feed,
+      java.util.function.BiConsumer<Changes<T>, Boolean> apply) {
+    return closer.register(new Follower<>(kind, feed, clock, events, apply, reachable -> {}));
+  }
+
+  void start() {
+    documentFeed.start();
+    targetFeed.start();
+    releaseFeed.start();
+    evacuationFeed.start();
+    hostFeed.start();
+  }
+
+  private void applyDocuments(Changes<SteeringDocument> changes, boolean complete) {
+    changes.written().values().forEach(offered -> offer(offered, "store"));
+  }
+
+  /** Takes a document if it is newer than the one in force. */
+  void offer(SteeringDocument offered, String from) {
+    DocumentIndex next = new DocumentIndex(offered);
+    while (true) {
+      DocumentIndex now = document.get();
+      if (now != null && now.document.version() >= offered.version()) {
+        if (now.document.version() > offered.version()) {
+          events.log(
+              SteeringEvent.DOCUMENT_REFUSED, offered.version(), now.document.version(), from);
+        }
+        return;
+      }
+      if (document.compareAndSet(now, next)) {
+        events.log(
+            SteeringEvent.DOCUMENT_APPLIED,
+            offered.version(),
+            from,
+            offered.routes().size(),
+            offered.workspaces().size());
+        quotas.divide(offered);
+        return;
+      }
+    }
+  }
+
+  private void applyTargets(Changes<TargetRecord> changes, boolean complete) {
+    releases.sawVersions(changes.written().values());
+    if (complete) {
+      targets.replace(changes.written());
+    } else {
+      targets.change(changes.written().values(), changes.gone());
+    }
+  }
+
+  private void applyReleases(Changes<ReleaseOrder> changes, boolean complete) {
+    changes.written().values().forEach(releases::put);
+    changes.gone().forEach(releases::remove);
+  }
+
+  private void applyEvacuations(Changes<String> changes, boolean complete) {
+    if (complete) {
+      evacuated.clear();
+    }
+    evacuated.addAll(changes.written().values());
+    evacuated.removeAll(changes.gone());
+    targets.evacuate(evacuated, longestColdStart());
+  }
+
+  private long longestColdStart() {
+    DocumentIndex now = document.get();
+    long longest = 0;
+    if (now != null) {
+      for (SteeringService service : now.document.services().values()) {
+        longest = Math.max(longest, service.coldStartMillis());
+      }
+    }
+    return longest;
+  }
+
+  private void applyHosts(Changes<HostRecord> changes, boolean complete) {
+    if (complete) {
+      hostRecords.clear();
+    }
+    hostRecords.putAll(changes.written());
+    hostRecords.keySet().removeAll(changes.gone());
+    hosts.register(hostRecords);
+  }
+
+  /** Returns the document in force, null before the first one. */
+  @Nullable DocumentIndex document() {
+    return document.get();
+  }
+
+  /** Tells whether this host can serve callers. */
+  boolean isReady() {
+    return !leaving && document.get() != null && targetFeed.isListed() && targets.size() > 0;
+  }
+
+  boolean isLeaving() {
+    return leaving;
+  }
+
+  void leave() {
+    leaving = true;
+  }
+
+  boolean storeReachable() {
+    return documentFeed.isReachable() && releaseFeed.isReachable();
+  }
+
+  /** Does the periodic work that does not call the store. */
+  void tick() {
+    targets.expire();
+    hosts.logChanges();
+    DocumentIndex now = document.get();
+    if (now != null) {
+      quotas.divide(now.document);
+    }
+    detectStaleWatches(now == null ? 0 : now.document.version());
+  }
+
+  private void detectStaleWatches(long version) {
+    long newestDocument = 0;
+    long newestTargets = 0;
+    for (HostBeat beat : hosts.live()) {
+      newestDocument = Math.max(newestDocument, beat.getDocumentVersion());
+      newestTargets = Math.max(newestTargets, beat.getTargetsRevision());
+    }
+    staleDocumentNanos = staleSince(newestDocument > version, staleDocumentNanos, documentFeed);
+    boolean behind = newestTargets > targetFeed.revision();
+    staleTargetsNanos = staleSince(behind, staleTargetsNanos, targetFeed);
+  }
+
+  private long staleSince(boolean behind, long since, Follower<?> feed) {
+    if (!behind) {
+      return 0;
+    }
+    long now = clock.nanoTime();
+    if (since == 0) {
+      return now;
+    }
+    if (now - since > TimeUnit.MILLISECONDS.toNanos(STALE_WATCH_MILLIS)) {
+      feed.refresh();
+      return now;
+    }
+    return since;
+  }
+
+  /** Does the periodic work that writes to the store; runs on a thread that may block. */
+  void maintain() {
+    boolean due = clock.nanoTime() - nextWriteNanos >= 0;
+    if (!registered && !leaving && due && hostFeed.isReachable()) {
+      nextWriteNanos = clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WRITE_PAUSE_MILLIS);
+      HostRecord there = hosts.registered(self.name());
+      registered = self.equals(there) || confirmed("host/" + self.name(), store.putHost(self));
+    }
+    releases.tick(storeReachable(), store);
+    if (hosts.leads(storeReachable())) {
+      for (String name : hosts.silentFor(FORGET_HOST_MILLIS, startNanos)) {
+        confirmed("host/" + name, store.removeHost(name));
+      }
+    }
+    if (registered && due && hostFeed.isReachable() && hosts.registered(self.name()) == null) {
+      // The record was removed while this host was not heard, or the write was not seen yet.
+      registered = false;
+    }
+  }
+
+  /** Takes this host out of the store before it ends. */
+  void deregister() {
+    if (registered) {
+      confirmed("host/" + self.name(), store.removeHost(self.name()));
+    }
+  }
+
+  private boolean confirmed(String object, Result<Boolean, WriteError> result) {
+    if (!result.isOk()) {
+      events.log(SteeringEvent.WRITE_FAILED, object, result.error().toString());
+      return false;
+    }
+    return true;
+  }
+
+  /** Writes the parts of a beat that describe this host. */
+  HostBeat beat(long sequence) {
+    DocumentIndex now = document.get();
+    HostBeat.Builder beat =
+        HostBeat.newBuilder()
+            .setHost(self.name())
+            .setIncarnation(self.incarnation())
+            .setSequence(sequence)
+            .setReady(isReady())
+            .setLeaving(leaving)
+            .setCallersAddress(self.callersAddress())
+            .setPeerAddress(self.peerAddress())
+            .setZone(self.zone())
+            .setRegion(self.region())
+            .setStoreReachable(storeReachable())
+            .setDocumentVersion(now == null ? 0 : now.document.version())
+            .setTargetsRevision(targetFeed.revision());
+    quotas.describe(beat);
+    releases.describe(beat);
+    return beat.build();
+  }
+
+  @Override
+  public void close() throws Exception {
+    closer.close();
+  }
+}
--- /dev/null
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -0,0 +1,170 @@
+package verbenahatch.steering;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import verbenahatch.kernel.Clock;
+import verbenahatch.steering.ReleaseTable.VersionRule;
+import verbenahatch.steering.model.SteeringDocument.SteeringService;
+import verbenahatch.steering.model.TargetRecord;
+
+/**
+ * Chooses the target from which the answer is expected first.
+ *
+ * <p>Hosts agree on the first target for an object by rendezvous hashing, so that it keeps the
+ * object warm; queues, distance and failures decide when another one is better.
+ */
+final class TargetSelector {
+
+  /** Cost of another region: the way there and back, and the price of its bytes. */
+  private static final double REMOTE_REGION_MILLIS = 120;
+
+  /** Further cost of each kilobyte that crosses regions, whose links are capped. */
+  private static final double REMOTE_KILOBYTE_MILLIS = 3;
+
+  /** A cold target takes this many times as long. */
+  private static final double COLD_TARGET_FACTOR = 2;
+
+  /** Cost of a certain failure, in milliseconds: a repeat and its wait. */
+  private static final double FAILURE_MILLIS = 2_500;
+
+  /** Targets queue about three requests per slot before they reject. */
+  private static final double MAX_LOAD_PER_SLOT = 3.5;
+
+  /** Weight of a nearly full target, whose next request is likely to wait. */
+  private static final double CROWDING_WEIGHT = 0.3;
+
+  /**
+   * Describes a request to the selector.
+   *
+   * @param service the targets to choose from
+   * @param definition what the operator says of the service, null if nothing
+   * @param objectHash the hash of the object's name, or of the request if it names none
+   * @param named whether the request names an object
+   * @param region the region of this host
+   * @param homes the regions in which the request may run; empty if all may
+   * @param bodyBytes the bytes of the request's body
+   * @param tried the targets that had the request already
+   * @param rule the versions that the request may use
+   */
+  record Need(
+      ServiceTargets service,
+      @Nullable SteeringService definition,
+      long objectHash,
+      boolean named,
+      String region,
+      Set<String> homes,
+      long bodyBytes,
+      Set<Target> tried,
+      VersionRule rule) {}
+
+  /**
+   * Holds a choice.
+   *
+   * @param target the target
+   * @param preferred whether it is the first of its region for the object
+   * @param expectedMillis the time after which the answer is expected
+   * @param waitMillis the part of it for which the request waits for a slot
+   */
+  record Choice(Target target, boolean preferred, double expectedMillis, double waitMillis) {}
+
+  private final Clock clock;
+  private final TargetTable table;
+  private final HostTable hosts;
+
+  TargetSelector(Clock clock, TargetTable table, HostTable hosts) {
+    this.clock = clock;
+    this.table = table;
+    this.hosts = hosts;
+  }
+
+  /** Chooses a target, null if none may take the request. */
+  @Nullable Choice choose(Need need) {
+    long now = clock.nanoTime();
+    List<Target> targets = need.service.targets;
+    Map<String, Target> first = new HashMap<>();
+    Map<String, Long> lowest = new HashMap<>();
+    for (Target target : targets) {
+      if (!isUsable(target, need, now)) {
+        continue;
+      }
+      long hash = Hashing.mix(target.idHash ^ need.objectHash);
+      Long known = lowest.get(target.region);
+      if (known == null || hash < known) {
+        lowest.put(target.region, hash);
+        first.put(target.region, target);
+      }
+    }
+    Choice best = null;
+    for (Target target : targets) {
+      if (!isUsable(target, need, now)) {
+        continue;
+      }
+      boolean preferred = need.named && first.get(target.region) == target;
+      Choice choice = estimate(target, preferred, need, now);
+      if (choice != null && (best == null || choice.expectedMillis < best.expectedMillis)) {
+        best = choice;
+      }
+    }
+    if (best != null && best.target.isCold(now) && !takeWarmUp(best.target, need, now)) {
+      return null;
+    }
+    return best;
+  }
+
+  private boolean isUsable(Target target, Need need, long now) {
+    TargetRecord record = target.record();
+    if (!target.isOffered() || target.isEjected(now) || table.isEvacuated(record.zone())) {
+      return false;
+    }
+    if (!need.homes.isEmpty() && !need.homes.contains(target.region)) {
+      return false;
+    }
+    if (need.tried.contains(target) || !need.rule.allows(record.version())) {
+      return false;
+    }
+    if (target.isOnTrial() && target.inFlight.get() > 0) {
+      return false;
+    }
+    return !target.isCold(now) || mayWarmUp(target, need, now);
+  }
+
+  private boolean mayWarmUp(Target target, Need need, long now) {
+    return hosts.isWarmUpOwner(target.idHash, target.region)
+        && target.warmUp(warmUpRate(need), now).hasToken(now);
+  }
+
+  private boolean takeWarmUp(Target target, Need need, long now) {
+    return target.warmUp(warmUpRate(need), now).tryTake(now);
+  }
+
+  private static double warmUpRate(Need need) {
+    double all = need.definition == null ? 1 : need.definition.warmUpPerSecond();
+    return all / HostTable.warmUpOwners();
+  }
+
+  private @Nullable Choice estimate(Target target, boolean preferred, Need need, long now) {
+    int slots = Math.max(1, target.record().slots());
+    double load = target.load(now);
+    if (load >= slots * MAX_LOAD_PER_SLOT) {
+      return null;
+    }
+    ServiceTargets service = need.service;
+    double work = preferred ? service.warmMillis() : service.coldMillis();
+    work *= target.slowness(now);
+    if (target.isCold(now)) {
+      work *= COLD_TARGET_FACTOR;
+    }
+    double ahead = Math.max(0, load + 1 - slots);
+    double wait = ahead / slots * service.warmMillis() * target.slowness(now);
+    double used = Math.min(1, load / slots);
+    double crowding = CROWDING_WEIGHT * service.warmMillis() * Math.pow(used, 4);
+    double expected = work + wait + crowding + FAILURE_MILLIS * target.failureShare(now);
+    if (!target.region.equals(need.region)) {
+      expected += REMOTE_REGION_MILLIS + need.bodyBytes / 1024.0 * REMOTE_KILOBYTE_MILLIS;
+    }
+    return new Choice(target, preferred, expected, wait);
+  }
+}
--- /dev/null
+++ b/steering/src/main/java/verbenahatch/steering/TokenBucket.java
@@ -0,0 +1,53 @@
+package verbenahatch.steering;
+
+/**
+ * Admits at a rate with a burst.
+ *
+ * <p>Thread-safe. Rate and burst may change at any time; a change issues no tokens.
+ */
+final class TokenBucket {
+
+  private static final double NANOS_PER_SECOND = 1e9;
+
+  private double ratePerSecond;
+  private double burst;
+  private double tokens;
+  private long lastNanos;
+
+  TokenBucket(double ratePerSecond, double burst, double tokens, long nowNanos) {
+    this.ratePerSecond = ratePerSecond;
+    this.burst = burst;
+    this.tokens = Math.min(tokens, burst);
+    this.lastNanos = nowNanos;
+  }
+
+  /** Changes rate and burst; tokens above the new burst are dropped. */
+  synchronized void set(double newRate, double newBurst, long nowNanos) {
+    refill(nowNanos);
+    ratePerSecond = newRate;
+    burst = newBurst;
+    tokens = Math.min(tokens, newBurst);
+  }
+
+  /** Takes one token if there is one. */
+  synchronized boolean tryTake(long nowNanos) {
+    refill(nowNanos);
+    if (tokens < 1) {
+      return false;
+    }
+    tokens--;
+    return true;
+  }
+
+  /** Tells whether {@link #tryTake} would succeed. */
+  synchronized boolean hasToken(long nowNanos) {
+    refill(nowNanos);
+    return tokens >= 1;
+  }
+
+  private void refill(long nowNanos) {
+    double seconds = Math.max(0, nowNanos - lastNanos) / NANOS_PER_SECOND;
+    lastNanos = nowNanos;
+    tokens = Math.min(burst, tokens + seconds * ratePerSecond);
+  }
+}
--- /dev/null
+++ b/steering/src/main/java/verbenahatch/steering/model/SettingsReader.java
@@ -0,0 +1,181 @@
+package verbenahatch.steering.model;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.OptionalLong;
+import java.util.Set;
+import java.util.TreeSet;
+import verbenahatch.kernel.Json;
+import verbenahatch.kernel.JsonException;
+import verbenahatch.kernel.Result;
+import verbenahatch.model.Fault;
+import verbenahatch.steering.model.SteeringSettings.Bounds;
+
+/** Reads and checks the settings of a steering process: JSON with comments. */
+public final class SettingsReader {
+
+  private static final Set<String> KNOWN =
+      Set.of(
+          "host",
+          "zone",
+          "region",
+          "callers",
+          "readiness",
+          "directory",
+          "internalAddress",
+          "peerPort",
+          "metricsPort",
+          "store",
+          "seeds",
+          "regionsByZone",
+          "stopTime",
+          "directoryTimeToLive",
+          "retryRatio",
+          "retrySlack",
+          "canaryShare",
+          "canarySlack");
+
+  private static final int MAX_PORT = 65_535;
+
+  private final JsonNode root;
+  private final List<Fault> faults = new ArrayList<>();
+
+  private SettingsReader(JsonNode root) {
+    this.root = root;
+  }
+
+  /**
+   * Reads settings.
+   *
+   * @param text UTF-8 text, not null
+   * @return the settings, or every fault found
+   */
+  public static Result<SteeringSettings, List<Fault>> read(byte[] text) {
+    JsonNode root;
+    try {
+      root = Json.readTree(text);
+    } catch (JsonException e) {
+      return Result.err(List.of(new Fault("settings", e.toString(), "JSON with comments")));
+    }
+    SettingsReader reader = new SettingsReader(root);
+    SteeringSettings settings = reader.settings();
+    return reader.faults.isEmpty() ? Result.ok(settings) : Result.err(reader.faults);
+  }
+
+  private SteeringSettings settings() {
+    Set<String> unknown = new TreeSet<>();
+    root.fieldNames().forEachRemaining(unknown::add);
+    unknown.removeAll(KNOWN);
+    unknown.forEach(name -> fault(name, "a setting that docs/settings.md lists"));
+    return new SteeringSettings(
+        text("host"),
+        text("zone"),
+        text("region"),
+        address("callers"),
+        address("readiness"),
+        address("directory"),
+        text("internalAddress"),
+        port("peerPort"),
+        port("metricsPort"),
+        address("store"),
+        seeds(),
+        zones(),
+        new Bounds(
+            millis("stopTime"),
+            millis("directoryTimeToLive"),
+            number("retryRatio"),
+            number("retrySlack"),
+            number("canaryShare"),
+            number("canarySlack")));
+  }
+
+  private void fault(String name, String expected) {
+    JsonNode node = root.path(name);
+    faults.add(new Fault(name, node.isMissingNode() ? "missing" : node.toString(), expected));
+  }
+
+  private String text(String name) {
+    JsonNode node = root.path(name);
+    if (!node.isTextual() || node.textValue().isBlank()) {
+      fault(name, "a text that is not blank");
+      return "";
+    }
+    return node.textValue();
+  }
+
+  private String address(String name) {
+    String value = root.path(name).asText("");
+    if (!isAddress(value)) {
+      fault(name, "an IP number and a port, such as 10.1.0.23:8080");
+    }
+    return value;
+  }
+
+  private static boolean isAddress(String value) {
+    int colon = value.lastIndexOf(':');
+    if (colon <= 0) {
+      return false;
+    }
+    try {
+      int port = Integer.parseInt(value.substring(colon + 1));
+      return port > 0 && port <= MAX_PORT;
+    } catch (NumberFormatException e) {
+      return false;
+    }
+  }
+
+  private int port(String name) {
+    int value = root.path(name).asInt(0);
+    if (value <= 0 || value > MAX_PORT) {
+      fault(name, "a port from 1 to 65535");
+    }
+    return value;
+  }
+
+  private long millis(String name) {
+    OptionalLong value = Durations.readMillis(root.path(name).asText(""));
+    if (value.isEmpty()) {
+      fault(name, "a duration such as 1500ms or 2.5s");
+    }
+    return value.orElse(0);
+  }
+
+  private double number(String name) {
+    JsonNode node = root.path(name);
+    if (!node.isNumber() || node.doubleValue() < 0) {
+      fault(name, "a number that is not negative");
+    }
+    return node.asDouble(0);
+  }
+
+  private List<String> seeds() {
+    List<String> seeds = new ArrayList<>();
+    JsonNode node = root.path("seeds");
+    if (!node.isArray()) {
+      fault("seeds", "a list of addresses, possibly empty");
+      return seeds;
+    }
+    for (JsonNode seed : node) {
+      if (isAddress(seed.asText(""))) {
+        seeds.add(seed.asText());
+      } else {
+        fault("seeds", "IP numbers with ports");
+      }
+    }
+    return seeds;
+  }
+
+  private Map<String, String> zones() {
+    Map<String, String> zones = new LinkedHashMap<>();
+    JsonNode node = root.path("regionsByZone");
+    if (!node.isObject() || node.isEmpty()) {
+      fault("regionsByZone", "the region of each zone");
+      return zones;
+    }
+    node.fields().forEachRemaining(entry -> zones.put(entry.getKey(), entry.getValue().asText()));
+    return zones;
+  }
+}
--- /dev/null
+++ b/steering/src/main/java/verbenahatch/steering/model/SteeringSettings.java
@@ -0,0 +1,77 @@
+package verbenahatch.steering.model;
+
+import java.util.Arrays;
+import java.util.Collections;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+
+/**
+ * Holds the settings of a steering process; docs/settings.md lists them.
+ *
+ * @param host the name of the host
+ * @param zone the availability zone
+ * @param region the region
+ * @param callers the address for callers, IP number and port
+ * @param readiness the address for readiness checks
+ * @param directory the address of the directory
+ * @param internalAddress the IP number for metrics, state and peers
+ * @param peerPort the UDP port for datagrams of other hosts
+ * @param metricsPort the TCP port for metrics and the state dump
+ * @param store the address of the platform's store
+ * @param seeds addresses of hosts that may be asked before the store answers
+ * @param regionsByZone the region of each zone
+ * @param bounds what the operators of the platform promise or demand
+ */
+public record SteeringSettings(
+    String host,
+    String zone,
+    String region,
+    String callers,
+    String readiness,
+    String directory,
+    String internalAddress,
+    int peerPort,
+    int metricsPort,
+    String store,
+    List<String> seeds,
+    Map<String, String> regionsByZone,
+    Bounds bounds) {
+
+  /** Copies the collections and treats what is missing as empty. */
+  public SteeringSettings {
+    seeds = seeds == null ? List.of() : seeds.stream().filter(Objects::nonNull).distinct().toList();
+    regionsByZone =
+        regionsByZone == null
+            ? Map.of()
+            : Collections.unmodifiableMap(new LinkedHashMap<>(regionsByZone));
+  }
+
+  /**
+   * Holds the figures of the platform's terms.
+   *
+   * @param stopMillis the time from SIGTERM to SIGKILL
+   * @param directoryTtlMillis the longest time for which a caller uses a directory answer
+   * @param retryRatio the repeats per request that all hosts together may send to a service
+   * @param retrySlack the repeats beyond that in one window
+   * @param canaryShare the part of a service's requests that a bad version may get
+   * @param canarySlack the requests beyond that
+   */
+  public record Bounds(
+      long stopMillis,
+      long directoryTtlMillis,
+      double retryRatio,
+      double retrySlack,
+      double canaryShare,
+      double canarySlack) {}
+
+  /**
+   * Returns all regions.
+   *
+   * @return the regions without duplicates, in order of the zones
+   */
+  public List<String> regions() {
+    return Arrays.asList(regionsByZone.values().stream().distinct().toArray(String[]::new));
+  }
+}
--- /dev/null
+++ b/steering/src/main/java/verbenahatch/steering/model/package-info.java
@@ -0,0 +1,5 @@
+/** What steering decides on, and the interfaces through which a platform supplies it. */
+@NullMarked
+package verbenahatch.steering.model;
+
+import org.jspecify.annotations.NullMarked;
