Hand out part of the allowed quota excess and average demand over 2 s

Cause: a burst divided among eight hosts refuses requests that one bucket would admit, and demand averaged over 0.8 s let the share of a quiet host shrink between two requests.

--- a/steering/src/main/java/verbenahatch/steering/QuotaTable.java
+++ b/steering/src/main/java/verbenahatch/steering/QuotaTable.java
@@ -10,6 +10,7 @@
 import verbenahatch.peer.generated.WorkspaceDemand;
 import verbenahatch.steering.model.SteeringDocument;
 import verbenahatch.steering.model.SteeringDocument.SteeringWorkspace;
+import verbenahatch.steering.model.SteeringSettings.Bounds;
 
 /**
  * Divides the rates of workspaces among hosts by demand.
@@ -19,11 +20,17 @@
  */
 final class QuotaTable {
 
-  /** Weight of the newest period in the mean demand. */
-  private static final double DEMAND_WEIGHT = 0.3;
+  /** Time over which demand is averaged; requests of a small workspace come seconds apart. */
+  private static final double DEMAND_SECONDS = 2;
 
   /** Part of an even share that each host keeps without demand, so that first requests pass. */
-  private static final double IDLE_PART = 0.15;
+  private static final double IDLE_PART = 0.4;
+
+  /**
+   * Part of the allowed excess that is handed out, because a burst divided among hosts refuses
+   * requests that one bucket would admit. The rest covers beats that arrive late.
+   */
+  private static final double EXCESS_PART = 0.75;
 
   private static final class Account {
     final TokenBucket bucket;
@@ -38,12 +45,14 @@
 
   private final Clock clock;
   private final HostTable hosts;
+  private final Bounds bounds;
   private final Map<String, Account> accounts = new ConcurrentHashMap<>();
   private long lastNanos;
 
-  QuotaTable(Clock clock, HostTable hosts) {
+  QuotaTable(Clock clock, HostTable hosts, Bounds bounds) {
     this.clock = clock;
     this.hosts = hosts;
+    this.bounds = bounds;
     this.lastNanos = clock.nanoTime();
   }
 
@@ -75,10 +84,13 @@
       }
       Account account = account(workspace.name());
       double asked = account.asked.sumThenReset() / seconds;
-      account.demand += DEMAND_WEIGHT * (asked - account.demand);
+      account.demand += (1 - Math.exp(-seconds / DEMAND_SECONDS)) * (asked - account.demand);
       double others = demandOfOthers.getOrDefault(workspace.name(), 0.0);
       double share = share(workspace.ratePerSecond(), count, live.size(), account.demand, others);
-      account.bucket.set(workspace.ratePerSecond() * share, workspace.burst() * share, now);
+      double excess = 1 + bounds.quotaOvershoot() * EXCESS_PART;
+      double rate = workspace.ratePerSecond() * excess;
+      double burst = workspace.burst() * excess + bounds.quotaSlack() * EXCESS_PART;
+      account.bucket.set(rate * share, burst * share, now);
     }
   }
 
--- a/steering/src/main/java/verbenahatch/steering/SteeringState.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringState.java
@@ -70,7 +70,7 @@
     this.nextWriteNanos = startNanos;
     hosts = new HostTable(clock, events, settings, process);
     targets = new TargetTable(clock, events, settings.regionsByZone());
-    quotas = new QuotaTable(clock, hosts);
+    quotas = new QuotaTable(clock, hosts, settings.bounds());
     releases = new ReleaseTable(clock, events, hosts, settings.bounds());
     selector = new TargetSelector(clock, targets, hosts);
     self =
--- a/steering/src/main/java/verbenahatch/steering/model/SteeringSettings.java
+++ b/steering/src/main/java/verbenahatch/steering/model/SteeringSettings.java
@@ -53,6 +53,9 @@
    *
    * @param stopMillis the time from SIGTERM to SIGKILL
    * @param directoryTtlMillis the longest time for which a caller uses a directory answer
+   * @param quotaWindowMillis the window over which a workspace's requests are counted
+   * @param quotaOvershoot the part by which all hosts together may exceed a rate and burst
+   * @param quotaSlack the requests beyond that in one window
    * @param retryRatio the repeats per request that all hosts together may send to a service
    * @param retrySlack the repeats beyond that in one window
    * @param canaryShare the part of a service's requests that a bad version may get
@@ -61,6 +64,9 @@
   public record Bounds(
       long stopMillis,
       long directoryTtlMillis,
+      long quotaWindowMillis,
+      double quotaOvershoot,
+      double quotaSlack,
       double retryRatio,
       double retrySlack,
       double canaryShare,
