--- /dev/null
+++ b/http/src/main/java/verbenahatch/http/ProbedConnector.java
@@ -0,0 +1,37 @@
+package verbenahatch.http;
+
+import java.io.IOException;
+import java.net.StandardSocketOptions;
+import java.nio.channels.NetworkChannel;
+import java.nio.channels.SelectableChannel;
+import jdk.net.ExtendedSocketOptions;
+import org.eclipse.jetty.io.ClientConnector;
+
+/**
+ * Opens connections that the operating system probes while they are idle.
+ *
+ * <p>A connection can go silent for good without a reset while new ones work; probes end it within
+ * seconds, also while a call waits on it.
+ */
+public final class ProbedConnector extends ClientConnector {
+
+  /** Idle time before the first probe, in seconds; the shortest that the system takes. */
+  private static final int IDLE_SECONDS = 1;
+
+  /** Time between probes, in seconds. */
+  private static final int INTERVAL_SECONDS = 1;
+
+  /** Probes without an answer after which a connection ends; one may be lost on the way. */
+  private static final int PROBES = 2;
+
+  @Override
+  protected void configure(SelectableChannel selectable) throws IOException {
+    super.configure(selectable);
+    if (selectable instanceof NetworkChannel channel) {
+      channel.setOption(StandardSocketOptions.SO_KEEPALIVE, true);
+      channel.setOption(ExtendedSocketOptions.TCP_KEEPIDLE, IDLE_SECONDS);
+      channel.setOption(ExtendedSocketOptions.TCP_KEEPINTERVAL, INTERVAL_SECONDS);
+      channel.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, PROBES);
+    }
+  }
+}
--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -479,6 +479,7 @@
 
   private void eject(Target target, String reason) {
     long millis = target.eject(context.state.clock.nanoTime());
+    service().lostTarget(context.state.clock.nanoTime());
     if (millis > 0) {
       context.state.events.log(
           SteeringEvent.TARGET_EJECTED, target.record().id(), 1, millis, reason);
--- a/steering/src/main/java/verbenahatch/steering/Follower.java
+++ b/steering/src/main/java/verbenahatch/steering/Follower.java
@@ -21,8 +21,11 @@
  */
 final class Follower<T> implements AutoCloseable {
 
-  /** Longest wait of one watch; a silent connection is noticed this much later at most. */
-  static final Duration WATCH_WAIT = Duration.ofSeconds(8);
+  /** Longest wait of one watch; probes on the connection notice silence long before. */
+  static final Duration WATCH_WAIT = Duration.ofSeconds(25);
+
+  /** Pause after changes, so that those that follow each other come in one call. */
+  private static final long GATHER_MILLIS = 200;
 
   /** First and longest pause after a failed call. */
   private static final long MIN_PAUSE_MILLIS = 100;
@@ -150,6 +153,8 @@
     }
     if (!changes.written().isEmpty() || !changes.gone().isEmpty()) {
       apply.accept(changes, false);
+      revision = changes.revision();
+      LockSupport.parkNanos(TimeUnit.MILLISECONDS.toNanos(GATHER_MILLIS));
     }
     revision = changes.revision();
     return true;
--- /dev/null
+++ b/steering/src/main/java/verbenahatch/steering/RegionShares.java
@@ -0,0 +1,117 @@
+package verbenahatch.steering;
+
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Paces how the requests of one service are distributed over regions.
+ *
+ * <p>Each request votes for the region that would answer it first. The shares follow the votes, but
+ * no faster than the allowed shift, so that links and caches of a region see no sudden moves.
+ * Thread-safe.
+ */
+final class RegionShares {
+
+  /** Time in which shares follow the votes if the pace allows it, in seconds. */
+  private static final double FOLLOW_SECONDS = 1;
+
+  /** Time after the first request in which shares follow at once, as there is nothing to move. */
+  private static final double START_SECONDS = 1.5;
+
+  private static final double START_FOLLOW_SECONDS = 0.3;
+
+  /** The allowed shift is counted from one window of two seconds to the next. */
+  private static final double WINDOW_SECONDS = 2;
+
+  /** Part of the allowed shift that is used; the rest covers the luck of the draw. */
+  private static final double SHIFT_PART = 0.6;
+
+  /** Shares follow this many times as fast after a region has lost part of its targets. */
+  private static final double LOSS_FACTOR = 5;
+
+  private static final double GOLDEN_FRACTION = 0.6180339887498949;
+
+  private final double maxShiftPerSecond;
+  private final Map<String, Double> shares = new TreeMap<>();
+  private long firstNanos;
+  private long lastNanos;
+  private long counter;
+
+  RegionShares(double maxShift) {
+    this.maxShiftPerSecond = maxShift * SHIFT_PART / WINDOW_SECONDS;
+  }
+
+  /**
+   * Counts a vote and draws the region of this request.
+   *
+   * @param vote the region that would answer first
+   * @param usable the regions that can take the request
+   * @param lossNear whether targets were lost a short time ago
+   * @param nowNanos the time
+   * @return a usable region, null if none of the usable ones has a share yet
+   */
+  synchronized @Nullable String next(
+      String vote, Set<String> usable, boolean lossNear, long nowNanos) {
+    if (shares.isEmpty()) {
+      shares.put(vote, 1.0);
+      firstNanos = nowNanos;
+      lastNanos = nowNanos;
+      return vote;
+    }
+    follow(vote, lossNear, nowNanos);
+    return draw(usable);
+  }
+
+  private void follow(String vote, boolean lossNear, long nowNanos) {
+    double seconds = Math.max(0, (nowNanos - lastNanos) / 1e9);
+    lastNanos = nowNanos;
+    boolean starting = (nowNanos - firstNanos) / 1e9 < START_SECONDS;
+    double tau = starting ? START_FOLLOW_SECONDS : FOLLOW_SECONDS;
+    double part = 1 - Math.exp(-seconds / tau);
+    double most = maxShiftPerSecond * Math.min(seconds, WINDOW_SECONDS);
+    if (lossNear) {
+      most *= LOSS_FACTOR;
+    }
+    double wanted = part * (1 - shares.getOrDefault(vote, 0.0));
+    double moved = starting ? wanted : Math.min(wanted, most);
+    double before = 1 - shares.getOrDefault(vote, 0.0);
+    if (before <= 0) {
+      return;
+    }
+    double keep = 1 - moved / before;
+    shares.replaceAll((region, share) -> region.equals(vote) ? share : share * keep);
+    shares.merge(vote, moved, Double::sum);
+  }
+
+  private @Nullable String draw(Set<String> usable) {
+    double sum = 0;
+    for (Map.Entry<String, Double> entry : shares.entrySet()) {
+      if (usable.contains(entry.getKey())) {
+        sum += entry.getValue();
+      }
+    }
+    if (sum < 0.001) {
+      return null;
+    }
+    double point = (counter++ * GOLDEN_FRACTION) % 1.0 * sum;
+    String last = null;
+    for (Map.Entry<String, Double> entry : shares.entrySet()) {
+      if (!usable.contains(entry.getKey())) {
+        continue;
+      }
+      last = entry.getKey();
+      point -= entry.getValue();
+      if (point < 0) {
+        break;
+      }
+    }
+    return last;
+  }
+
+  /** Returns the share of a region, for tests and the state dump. */
+  synchronized double share(String region) {
+    return shares.getOrDefault(region, 0.0);
+  }
+}
--- a/steering/src/main/java/verbenahatch/steering/ServiceTargets.java
+++ b/steering/src/main/java/verbenahatch/steering/ServiceTargets.java
@@ -26,8 +26,26 @@
   private volatile double warmMillis = INITIAL_MILLIS;
   private volatile double coldMillis = INITIAL_MILLIS * INITIAL_COLD_RATIO;
 
-  ServiceTargets(String name) {
+  /** Time for which a loss of targets lets shares of regions follow faster, in nanoseconds. */
+  private static final long LOSS_NANOS = 4_000_000_000L;
+
+  final RegionShares regions;
+  private volatile long lossNanos;
+  private volatile boolean lost;
+
+  ServiceTargets(String name, double maxRegionShift) {
     this.name = name;
+    this.regions = new RegionShares(maxRegionShift);
+  }
+
+  /** Notes that a target was lost without being asked to leave. */
+  void lostTarget(long nowNanos) {
+    lossNanos = nowNanos;
+    lost = true;
+  }
+
+  boolean isLossNear(long nowNanos) {
+    return lost && nowNanos - lossNanos < LOSS_NANOS;
   }
 
   /** Returns the time that the first target in hash order takes for an object. */
--- a/steering/src/main/java/verbenahatch/steering/SteeringState.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringState.java
@@ -69,7 +69,9 @@
     this.startNanos = clock.nanoTime();
     this.nextWriteNanos = startNanos;
     hosts = new HostTable(clock, events, settings, process);
-    targets = new TargetTable(clock, events, settings.regionsByZone());
+    targets =
+        new TargetTable(
+            clock, events, settings.regionsByZone(), settings.bounds().maxRegionShift());
     quotas = new QuotaTable(clock, hosts, settings.bounds());
     releases = new ReleaseTable(clock, events, hosts, settings.bounds());
     selector = new TargetSelector(clock, targets, hosts);
--- a/steering/src/main/java/verbenahatch/steering/TargetPool.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetPool.java
@@ -6,9 +6,9 @@
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.io.ByteBufferPool;
-import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.Scheduler;
 import verbenahatch.http.IdleConnections;
+import verbenahatch.http.ProbedConnector;
 import verbenahatch.steering.model.TargetRecord;
 
 /**
@@ -26,7 +26,7 @@
   private static final long IDLE_MILLIS = 7_000;
 
   /** Idle time for requests that may run once only. */
-  private static final long ONCE_IDLE_MILLIS = 3_000;
+  private static final long ONCE_IDLE_MILLIS = 4_500;
 
   private static final int MAX_CONNECTIONS_PER_TARGET = 64;
 
@@ -43,7 +43,7 @@
   private static HttpClient create(
       Executor executor, Scheduler scheduler, ByteBufferPool buffers, String name, long idleMillis)
       throws Exception {
-    ClientConnector connector = new ClientConnector();
+    ProbedConnector connector = new ProbedConnector();
     connector.setSelectors(1);
     connector.setTCPNoDelay(true);
     HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -97,6 +97,7 @@
         first.put(target.region, target);
       }
     }
+    Map<String, Choice> byRegion = new HashMap<>();
     Choice best = null;
     for (Target target : targets) {
       if (!isUsable(target, need, now)) {
@@ -104,16 +105,33 @@
       }
       boolean preferred = need.named && first.get(target.region) == target;
       Choice choice = estimate(target, preferred, need, now);
-      if (choice != null && (best == null || choice.expectedMillis < best.expectedMillis)) {
-        best = choice;
+      if (choice == null) {
+        continue;
       }
+      byRegion.merge(target.region, choice, TargetSelector::sooner);
+      best = best == null ? choice : sooner(best, choice);
     }
+    best = best == null ? null : paced(best, byRegion, need, now);
     if (best != null && best.target.isCold(now) && !takeWarmUp(best.target, need, now)) {
       return null;
     }
     return best;
   }
 
+  private static Choice sooner(Choice one, Choice other) {
+    return other.expectedMillis < one.expectedMillis ? other : one;
+  }
+
+  private static Choice paced(Choice best, Map<String, Choice> byRegion, Need need, long now) {
+    if (!need.tried.isEmpty()) {
+      return best;
+    }
+    boolean lossNear = need.service.isLossNear(now);
+    String region = need.service.regions.next(best.target.region, byRegion.keySet(), lossNear, now);
+    Choice drawn = region == null ? null : byRegion.get(region);
+    return drawn == null ? best : drawn;
+  }
+
   private boolean isUsable(Target target, Need need, long now) {
     TargetRecord record = target.record();
     if (!target.isOffered() || target.isEjected(now) || table.isEvacuated(record.zone())) {
--- a/steering/src/main/java/verbenahatch/steering/TargetTable.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetTable.java
@@ -28,6 +28,7 @@
   private final Clock clock;
   private final Events events;
   private final Map<String, String> regionsByZone;
+  private final double maxRegionShift;
   private final Map<String, ServiceTargets> services = new ConcurrentHashMap<>();
   private final Map<String, Target> byId = new HashMap<>();
   private final Map<String, Long> missing = new HashMap<>();
@@ -36,10 +37,12 @@
   private boolean inReturn;
   private volatile boolean listed;
 
-  TargetTable(Clock clock, Events events, Map<String, String> regionsByZone) {
+  TargetTable(
+      Clock clock, Events events, Map<String, String> regionsByZone, double maxRegionShift) {
     this.clock = clock;
     this.events = events;
     this.regionsByZone = regionsByZone;
+    this.maxRegionShift = maxRegionShift;
   }
 
   /** Replaces all entries by those of a list. */
@@ -149,7 +152,7 @@
 
   /** Returns the targets of a service, none if it is unknown. */
   ServiceTargets service(String name) {
-    return services.computeIfAbsent(name, ServiceTargets::new);
+    return services.computeIfAbsent(name, n -> new ServiceTargets(n, maxRegionShift));
   }
 
   synchronized @Nullable Target byId(String id) {
--- a/steering/src/main/java/verbenahatch/steering/model/SteeringSettings.java
+++ b/steering/src/main/java/verbenahatch/steering/model/SteeringSettings.java
@@ -56,6 +56,8 @@
    * @param quotaWindowMillis the window over which a workspace's requests are counted
    * @param quotaOvershoot the part by which all hosts together may exceed a rate and burst
    * @param quotaSlack the requests beyond that in one window
+   * @param maxRegionShift the part of a region's requests that may change the region in which they
+   *     run from one window of two seconds to the next
    * @param retryRatio the repeats per request that all hosts together may send to a service
    * @param retrySlack the repeats beyond that in one window
    * @param canaryShare the part of a service's requests that a bad version may get
@@ -67,6 +69,7 @@
       long quotaWindowMillis,
       double quotaOvershoot,
       double quotaSlack,
+      double maxRegionShift,
       double retryRatio,
       double retrySlack,
       double canaryShare,
