--- a/http/src/main/java/verbenahatch/http/ProbedConnector.java
+++ b/http/src/main/java/verbenahatch/http/ProbedConnector.java
@@ -2,10 +2,17 @@
 
 import java.io.IOException;
 import java.net.StandardSocketOptions;
+import java.nio.ByteBuffer;
 import java.nio.channels.NetworkChannel;
 import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.SocketChannel;
 import jdk.net.ExtendedSocketOptions;
 import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.BufferUtil;
 
 /**
  * Opens connections that the operating system probes while they are idle.
@@ -34,4 +41,47 @@
       channel.setOption(ExtendedSocketOptions.TCP_KEEPCOUNT, PROBES);
     }
   }
+
+  @Override
+  protected EndPoint newEndPoint(
+      SelectableChannel selectable, ManagedSelector selector, SelectionKey key) {
+    return new ResettableEndPoint((SocketChannel) selectable, selector, key, this);
+  }
+
+  /**
+   * Reports a reset as a failure.
+   *
+   * <p>The library reads a reset as the end of input, which would make an answer without a declared
+   * length look complete.
+   */
+  private static final class ResettableEndPoint extends SocketChannelEndPoint {
+
+    ResettableEndPoint(
+        SocketChannel channel,
+        ManagedSelector selector,
+        SelectionKey key,
+        ProbedConnector connector) {
+      super(channel, selector, key, connector.getScheduler());
+      setIdleTimeout(connector.getIdleTimeout().toMillis());
+    }
+
+    @Override
+    public int fill(ByteBuffer buffer) throws IOException {
+      if (isInputShutdown()) {
+        return -1;
+      }
+      int position = BufferUtil.flipToFill(buffer);
+      try {
+        int filled = getChannel().read(buffer);
+        if (filled > 0) {
+          notIdle();
+        } else if (filled < 0) {
+          shutdownInput();
+        }
+        return filled;
+      } finally {
+        BufferUtil.flipToFlush(buffer, position);
+      }
+    }
+  }
 }
