Shed requests that would wait past their target latency

Cause: under overload requests waited up to 1.8 times their target latency, so nearly all answers were late. Ruled out: a bound on the expected total, which would refuse objects that no target holds yet and so never warm one.

--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -50,11 +50,14 @@
   /** Shortest body that is gathered in memory without a declared length. */
   private static final long UNDECLARED_BODY_BYTES = 256 * 1024;
 
-  /** A wait for a slot beyond this part of the target latency makes the answer worth little. */
-  private static final double MAX_WAIT_PART = 1.2;
+  /** A request waits for a slot only if it is then still answered in this part of its target. */
+  private static final double ON_TIME_PART = 1.0;
+
+  /** A request that is late anyway may wait for this part of its target latency. */
+  private static final double LATE_WAIT_PART = 0.15;
 
   /** Requests of the highest ranks may wait this many times as long as others. */
-  private static final double URGENT_WAIT_FACTOR = 1.5;
+  private static final double URGENT_WAIT_FACTOR = 1.3;
 
   /** Ranks up to this one are urgent. */
   private static final int URGENT_PRIORITY = 1;
@@ -304,7 +307,10 @@
     SteeringWorkspace holder = workspace;
     boolean ranked = holder != null && holder.priority() >= 0;
     int priority = ranked && holder != null ? holder.priority() : found.priority();
-    double most = found.targetLatencyMillis() * MAX_WAIT_PART;
+    double elapsed = (context.state.clock.nanoTime() - startNanos) / 1e6;
+    double target = found.targetLatencyMillis();
+    double spare = target * ON_TIME_PART - elapsed - choice.workMillis();
+    double most = Math.max(spare, target * LATE_WAIT_PART);
     if (priority <= URGENT_PRIORITY) {
       most *= URGENT_WAIT_FACTOR;
     }
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -67,8 +67,14 @@
    * @param preferred whether it is the first of its region for the object
    * @param expectedMillis the time after which the answer is expected
    * @param waitMillis the part of it for which the request waits for a slot
+   * @param workMillis the part of it for which the target works
    */
-  record Choice(Target target, boolean preferred, double expectedMillis, double waitMillis) {}
+  record Choice(
+      Target target,
+      boolean preferred,
+      double expectedMillis,
+      double waitMillis,
+      double workMillis) {}
 
   private final Clock clock;
   private final TargetTable table;
@@ -183,6 +189,6 @@
     if (!target.region.equals(need.region)) {
       expected += REMOTE_REGION_MILLIS + need.bodyBytes / 1024.0 * REMOTE_KILOBYTE_MILLIS;
     }
-    return new Choice(target, preferred, expected, wait);
+    return new Choice(target, preferred, expected, wait, work);
   }
 }
