--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -37,7 +37,7 @@
   private static final double RETRY_AFTER_PART = 0.3;
 
   /** Pause that a refused caller is asked for, so that queues at targets shorten. */
-  private static final double MAX_RETRY_AFTER_MILLIS = 700;
+  private static final double MAX_RETRY_AFTER_MILLIS = 250;
 
   /** An answer below this part of the remaining time is not worth a repeat. */
   private static final long MIN_REPEAT_MILLIS = 100;
@@ -355,7 +355,8 @@
     if (!found.idempotent() || attempts >= found.maxAttempts()) {
       return remaining;
     }
-    double patience = Math.max(MIN_TRY_MILLIS, choice.expectedMillis() * SLOW_TRY_FACTOR);
+    double patience =
+        Math.max(MIN_TRY_MILLIS, (choice.workMillis() + choice.waitMillis()) * SLOW_TRY_FACTOR);
     return patience > remaining * 0.6 ? remaining : (long) patience;
   }
 
@@ -406,10 +407,10 @@
       }
     } else {
       double work = Math.max(millis - call.choice.waitMillis(), millis * 0.2);
-      double usual = call.choice.preferred() ? targets.warmMillis() : targets.coldMillis();
+      double usual = call.choice.rank() == 0 ? targets.warmMillis() : targets.coldMillis();
       target.succeeded(work / Math.max(1, usual), now);
       if (!target.isCold(now)) {
-        targets.measured(call.choice.preferred(), work);
+        targets.measured(call.choice.rank(), work);
       }
     }
     deliver(call, end);
--- a/steering/src/main/java/verbenahatch/steering/RefusalReason.java
+++ b/steering/src/main/java/verbenahatch/steering/RefusalReason.java
@@ -2,7 +2,9 @@
 
 import org.eclipse.jetty.http.HttpStatus;
 
-/** Names the answers that a host gives in place of a target; docs/refusals.md lists them. */
+/**
+ * Names the answers that a host gives in place of a target; docs/refusals-platform.md lists them.
+ */
 enum RefusalReason {
   /** The host holds no document yet. */
   NO_DOCUMENT(HttpStatus.SERVICE_UNAVAILABLE_503),
--- a/steering/src/main/java/verbenahatch/steering/ServiceTargets.java
+++ b/steering/src/main/java/verbenahatch/steering/ServiceTargets.java
@@ -59,10 +59,10 @@
   }
 
   /** Measures an answer; lost updates of concurrent answers do no harm to a mean. */
-  void measured(boolean preferred, double millis) {
-    if (preferred) {
+  void measured(int rank, double millis) {
+    if (rank == 0) {
       warmMillis = warmMillis + TIME_WEIGHT * (millis - warmMillis);
-    } else {
+    } else if (rank >= TargetSelector.RANKS) {
       coldMillis = coldMillis + TIME_WEIGHT * (millis - coldMillis);
     }
   }
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -30,12 +30,58 @@
   /** Cost of a certain failure, in milliseconds: a repeat and its wait. */
   private static final double FAILURE_MILLIS = 2_500;
 
+  /** Use of a region's slots above which their time has a price. */
+  private static final double PRICED_USE = 0.5;
+
+  /** Price of a millisecond of a slot's time when all slots of a region are used. */
+  private static final double FULL_PRICE = 2;
+
   /** Targets queue about three requests per slot before they reject. */
   private static final double MAX_LOAD_PER_SLOT = 3.5;
 
   /** Weight of a nearly full target, whose next request is likely to wait. */
   private static final double CROWDING_WEIGHT = 0.3;
 
+  /** Places in the hash order that are told apart; an object overflows to the next place. */
+  static final int RANKS = 3;
+
+  /** Part of the time for a cold object that each place takes on top of that for a warm one. */
+  private static final double[] COLD_PART = {0, 0.8, 0.9, 1};
+
+  /** The first targets of a region for an object. */
+  private static final class Ranking {
+
+    private final Target[] targets = new Target[RANKS];
+    private final long[] hashes = new long[RANKS];
+    private int size;
+
+    void add(Target target, long hash) {
+      int place = size;
+      while (place > 0 && hash < hashes[place - 1]) {
+        place--;
+      }
+      if (place >= RANKS) {
+        return;
+      }
+      size = Math.min(RANKS, size + 1);
+      for (int i = size - 1; i > place; i--) {
+        targets[i] = targets[i - 1];
+        hashes[i] = hashes[i - 1];
+      }
+      targets[place] = target;
+      hashes[place] = hash;
+    }
+
+    int of(Target target) {
+      for (int i = 0; i < size; i++) {
+        if (targets[i] == target) {
+          return i;
+        }
+      }
+      return RANKS;
+    }
+  }
+
   /**
    * Describes a request to the selector.
    *
@@ -64,17 +110,12 @@
    * Holds a choice.
    *
    * @param target the target
-   * @param preferred whether it is the first of its region for the object
-   * @param expectedMillis the time after which the answer is expected
+   * @param rank the place of the target in the hash order of its region for the object
+   * @param costMillis the time after which the answer is expected, with the price of slots
    * @param waitMillis the part of it for which the request waits for a slot
    * @param workMillis the part of it for which the target works
    */
-  record Choice(
-      Target target,
-      boolean preferred,
-      double expectedMillis,
-      double waitMillis,
-      double workMillis) {}
+  record Choice(Target target, int rank, double costMillis, double waitMillis, double workMillis) {}
 
   private final Clock clock;
   private final TargetTable table;
@@ -90,27 +131,23 @@
   @Nullable Choice choose(Need need) {
     long now = clock.nanoTime();
     List<Target> targets = need.service.targets;
-    Map<String, Target> first = new HashMap<>();
-    Map<String, Long> lowest = new HashMap<>();
+    Map<String, Ranking> rankings = new HashMap<>();
     for (Target target : targets) {
-      if (!isUsable(target, need, now)) {
-        continue;
-      }
-      long hash = Hashing.mix(target.idHash ^ need.objectHash);
-      Long known = lowest.get(target.region);
-      if (known == null || hash < known) {
-        lowest.put(target.region, hash);
-        first.put(target.region, target);
+      if (need.named && isUsable(target, need, now)) {
+        long hash = Hashing.mix(target.idHash ^ need.objectHash);
+        rankings.computeIfAbsent(target.region, region -> new Ranking()).add(target, hash);
       }
     }
+    Map<String, Double> prices = slotPrices(targets, need, now);
     Map<String, Choice> byRegion = new HashMap<>();
     Choice best = null;
     for (Target target : targets) {
       if (!isUsable(target, need, now)) {
         continue;
       }
-      boolean preferred = need.named && first.get(target.region) == target;
-      Choice choice = estimate(target, preferred, need, now);
+      Ranking ranking = rankings.get(target.region);
+      int rank = ranking == null ? RANKS : ranking.of(target);
+      Choice choice = estimate(target, rank, need, prices.getOrDefault(target.region, 0.0), now);
       if (choice == null) {
         continue;
       }
@@ -124,8 +161,32 @@
     return best;
   }
 
+  /**
+   * Prices the time of slots by region.
+   *
+   * <p>Under load a request that takes long, because its object is cold at the target, takes the
+   * place of several others.
+   */
+  private Map<String, Double> slotPrices(List<Target> targets, Need need, long now) {
+    Map<String, double[]> sums = new HashMap<>();
+    for (Target target : targets) {
+      if (isUsable(target, need, now)) {
+        double[] sum = sums.computeIfAbsent(target.region, region -> new double[2]);
+        sum[0] += target.load(now);
+        sum[1] += Math.max(1, target.record().slots());
+      }
+    }
+    Map<String, Double> prices = new HashMap<>();
+    sums.forEach(
+        (region, sum) -> {
+          double over = (Math.min(1, sum[0] / sum[1]) - PRICED_USE) / (1 - PRICED_USE);
+          prices.put(region, Math.max(0, over) * FULL_PRICE);
+        });
+    return prices;
+  }
+
   private static Choice sooner(Choice one, Choice other) {
-    return other.expectedMillis < one.expectedMillis ? other : one;
+    return other.costMillis < one.costMillis ? other : one;
   }
 
   private static Choice paced(Choice best, Map<String, Choice> byRegion, Need need, long now) {
@@ -169,14 +230,16 @@
     return all / HostTable.warmUpOwners();
   }
 
-  private @Nullable Choice estimate(Target target, boolean preferred, Need need, long now) {
+  private @Nullable Choice estimate(
+      Target target, int rank, Need need, double slotPrice, long now) {
     int slots = Math.max(1, target.record().slots());
     double load = target.load(now);
     if (load >= slots * MAX_LOAD_PER_SLOT) {
       return null;
     }
     ServiceTargets service = need.service;
-    double work = preferred ? service.warmMillis() : service.coldMillis();
+    double extra = service.coldMillis() - service.warmMillis();
+    double work = service.warmMillis() + extra * COLD_PART[rank];
     work *= target.slowness(now);
     if (target.isCold(now)) {
       work *= COLD_TARGET_FACTOR;
@@ -189,6 +252,6 @@
     if (!target.region.equals(need.region)) {
       expected += REMOTE_REGION_MILLIS + need.bodyBytes / 1024.0 * REMOTE_KILOBYTE_MILLIS;
     }
-    return new Choice(target, preferred, expected, wait, work);
+    return new Choice(target, rank, expected + slotPrice * work, wait, work);
   }
 }
--- /dev/null
+++ b/steering/src/test/java/verbenahatch/steering/ReleaseTableTest.java
@@ -0,0 +1,147 @@
+package verbenahatch.steering;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import verbenahatch.kernel.Events;
+import verbenahatch.kernel.ManualClock;
+import verbenahatch.kernel.Result;
+import verbenahatch.steering.model.Feed;
+import verbenahatch.steering.model.HostRecord;
+import verbenahatch.steering.model.PlatformStore;
+import verbenahatch.steering.model.ReleaseOrder;
+import verbenahatch.steering.model.ReleaseOrder.State;
+import verbenahatch.steering.model.SteeringDocument;
+import verbenahatch.steering.model.SteeringSettings;
+import verbenahatch.steering.model.TargetRecord;
+
+/** Guards against exposure to bad versions and against good ones that are not finished. */
+class ReleaseTableTest {
+
+  private static final int PER_SECOND = 60;
+
+  private final ManualClock clock = new ManualClock();
+  private final SteeringSettings settings = Samples.settings("h1");
+  private final HostTable hosts = new HostTable(clock, Events.none(), settings, "p");
+  private final ReleaseTable table =
+      new ReleaseTable(clock, Events.none(), hosts, settings.bounds());
+  private final RecordingStore store = new RecordingStore();
+  private ReleaseOrder order = new ReleaseOrder("catalogue", "v2", 12_000, State.ORDERED, 1, 1);
+
+  private final class RecordingStore implements PlatformStore {
+    final List<State> states = new ArrayList<>();
+
+    @Override
+    public Feed<SteeringDocument> documents() {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Feed<TargetRecord> targets() {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Feed<ReleaseOrder> releases() {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Feed<String> evacuations() {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Feed<HostRecord> hosts() {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Result<Boolean, WriteError> putHost(HostRecord host) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Result<Boolean, WriteError> removeHost(String name) {
+      throw new UnsupportedOperationException();
+    }
+
+    @Override
+    public Result<Boolean, WriteError> putReleaseState(ReleaseOrder read, State state) {
+      states.add(state);
+      order =
+          new ReleaseOrder(
+              read.service(),
+              read.version(),
+              read.durationMillis(),
+              state,
+              read.revision() + 1,
+              read.created());
+      table.put(order);
+      return Result.ok(true);
+    }
+  }
+
+  /** Plays the duration of an order; returns the requests that the new version got. */
+  private int play(double failureShare, int afterNew) {
+    table.put(order);
+    int exposed = 0;
+    for (int i = 0; i < 12 * PER_SECOND; i++) {
+      boolean isNew = "v2".equals(table.nextRule("catalogue").required());
+      if (isNew) {
+        exposed++;
+      }
+      boolean failed = isNew && exposed > afterNew && exposed % 100 < failureShare * 100;
+      table.record("catalogue", "r", isNew ? "v2" : "v1", failed);
+      clock.advance(Duration.ofNanos(1_000_000_000L / PER_SECOND));
+      if (i % 15 == 0) {
+        table.tick(true, store);
+      }
+    }
+    return exposed;
+  }
+
+  @Test
+  void goodVersionCarriesTheTrafficBeforeItIsCompleted() {
+    play(0, 0);
+    assertEquals(List.of(State.RUNNING, State.COMPLETED), store.states);
+    assertEquals("v2", table.nextRule("catalogue").required());
+  }
+
+  @ParameterizedTest
+  @ValueSource(ints = {0, 20, 40})
+  void badVersionIsRolledBackWithinTheAllowedExposure(int afterNew) {
+    int exposed = play(0.5, afterNew);
+    assertTrue(store.states.contains(State.ROLLED_BACK), store.states.toString());
+    assertFalse(store.states.contains(State.COMPLETED));
+    double allowed =
+        settings.bounds().canaryShare() * 12 * PER_SECOND + settings.bounds().canarySlack();
+    assertTrue(exposed <= allowed, exposed + " requests");
+    assertFalse(table.nextRule("catalogue").allows("v2"));
+  }
+
+  /** Targets of a new version may register before the order for it is seen. */
+  @Test
+  void unknownVersionWaitsForItsOrder() {
+    table.sawVersions(List.of(Samples.target("t1", "a1", "v1")));
+    table.sawVersions(List.of(Samples.target("t2", "a1", "v2")));
+    assertFalse(table.nextRule("catalogue").allows("v2"));
+    clock.advance(Duration.ofSeconds(2));
+    assertTrue(table.nextRule("catalogue").allows("v2"));
+  }
+
+  /** An older state that a lagging read brings must not win over a newer one. */
+  @Test
+  void olderStateIsIgnored() {
+    table.put(new ReleaseOrder("catalogue", "v2", 12_000, State.ROLLED_BACK, 9, 1));
+    table.put(order);
+    assertFalse(table.nextRule("catalogue").allows("v2"));
+  }
+}
--- /dev/null
+++ b/steering/src/test/java/verbenahatch/steering/model/SettingsReaderTest.java
@@ -0,0 +1,60 @@
+package verbenahatch.steering.model;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import verbenahatch.kernel.Result;
+import verbenahatch.model.Fault;
+
+/** Guards against settings that are mistyped and taken all the same. */
+class SettingsReaderTest {
+
+  private static final String VALID =
+      """
+      // a comment
+      {"host": "h", "zone": "z", "region": "r", "callers": "10.0.0.1:80",
+       "readiness": "10.0.0.1:81", "directory": "10.0.0.1:82", "internalAddress": "10.0.0.1",
+       "peerPort": 7000, "metricsPort": 9464, "store": "10.0.0.9:80", "seeds": ["10.0.0.2:83"],
+       "regionsByZone": {"z": "r"}, "stopTime": "6s", "directoryTimeToLive": "5s",
+       "quotaWindow": "5s", "quotaOvershoot": 0.1, "quotaSlack": 20, "maxRegionShift": 0.15,
+       "retryRatio": 0.2, "retrySlack": 56, "canaryShare": 0.1, "canarySlack": 50}
+      """;
+
+  private static Result<SteeringSettings, List<Fault>> read(String text) {
+    return SettingsReader.read(text.getBytes(StandardCharsets.UTF_8));
+  }
+
+  @Test
+  void readsValidSettings() {
+    SteeringSettings settings = read(VALID).get();
+    assertEquals("r", settings.region());
+    assertEquals(6_000, settings.bounds().stopMillis());
+    assertEquals(List.of("10.0.0.2:83"), settings.seeds());
+  }
+
+  @ParameterizedTest
+  @CsvSource({
+    "'\"callers\": \"10.0.0.1:80\"', '\"callers\": \"10.0.0.1\"', callers",
+    "'\"stopTime\": \"6s\"', '\"stopTime\": 6', stopTime",
+    "'\"peerPort\": 7000', '\"peerPort\": 70000', peerPort",
+    "'\"host\": \"h\"', '\"hosts\": \"h\"', hosts",
+    "'\"retryRatio\": 0.2', '\"retryRatio\": -1', retryRatio"
+  })
+  void namesTheFaultySetting(String from, String to, String name) {
+    Result<SteeringSettings, List<Fault>> result = read(VALID.replace(from, to));
+    assertFalse(result.isOk());
+    assertTrue(result.error().stream().anyMatch(fault -> fault.path().equals(name)));
+  }
+
+  /** An operator sees every fault at once. */
+  @Test
+  void listsEveryFault() {
+    assertTrue(read("{}").error().size() > 15);
+  }
+}
