--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -5,21 +5,17 @@
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
-import org.eclipse.jetty.util.thread.Scheduler;
 import org.jspecify.annotations.Nullable;
-import verbenahatch.http.CallerWatch;
 import verbenahatch.steering.ReleaseTable.VersionRule;
 import verbenahatch.steering.TargetCall.End;
 import verbenahatch.steering.TargetSelector.Choice;
 import verbenahatch.steering.TargetSelector.Need;
+import verbenahatch.steering.TargetSelector.Outcome;
 import verbenahatch.steering.model.SteeringDocument.SteeringRoute;
 import verbenahatch.steering.model.SteeringDocument.SteeringWorkspace;
 import verbenahatch.steering.model.WireProtocol.CallerRequest;
@@ -47,9 +43,6 @@
 
   private static final double MIN_TRY_MILLIS = 500;
 
-  /** Shortest body that is gathered in memory without a declared length. */
-  private static final long UNDECLARED_BODY_BYTES = 256 * 1024;
-
   /** A request waits for a slot only if it is then still answered in this part of its target. */
   private static final double ON_TIME_PART = 1.0;
 
@@ -57,7 +50,7 @@
   private static final double LATE_WAIT_PART = 0.15;
 
   /** Requests of the highest ranks may wait this many times as long as others. */
-  private static final double URGENT_WAIT_FACTOR = 1.3;
+  private static final double URGENT_WAIT_FACTOR = 2;
 
   /** Ranks up to this one are urgent. */
   private static final int URGENT_PRIORITY = 1;
@@ -66,12 +59,10 @@
   private static final double SLOW_VERSION_FACTOR = 2.5;
 
   private final EntryContext context;
+  private final CallerSide side;
   private final Request request;
-  private final Response response;
-  private final Callback callback;
   private final CallerRequest caller;
   private final long startNanos;
-  private final AtomicBoolean finished = new AtomicBoolean();
   private final Set<Target> tried = new HashSet<>();
   private @Nullable DocumentIndex document;
   private @Nullable SteeringRoute route;
@@ -79,23 +70,20 @@
   private @Nullable ServiceTargets service;
   private VersionRule rule = VersionRule.ANY;
   private byte @Nullable [] body;
-  private long bodyReserved;
   private long deadlineNanos;
   private int attempts;
   private int arrivals;
+  private long objectHash;
   private volatile boolean callerGone;
   private volatile boolean mayHaveRun;
   private volatile @Nullable TargetCall current;
-  private volatile @Nullable CallerWatch watch;
-  private Scheduler.@Nullable Task timeout;
   private RefusalReason lastFailure = RefusalReason.NO_CAPACITY;
   private String lastReason = "";
 
   EntryExchange(EntryContext context, Request request, Response response, Callback callback) {
     this.context = context;
+    this.side = new CallerSide(context, request, response, callback);
     this.request = request;
-    this.response = response;
-    this.callback = callback;
     this.startNanos = context.state.clock.nanoTime();
     this.caller = context.wire.readRequest(request.getHeaders());
   }
@@ -131,7 +119,7 @@
     if (index.needsKeys() && !admitKey(index, found)) {
       return;
     }
-    readBody(index);
+    side.readBody(index.document.limits().maxBodyBytes(), this::bodyRead, this::refuse);
   }
 
   private boolean admitKey(DocumentIndex index, SteeringRoute found) {
@@ -152,59 +140,12 @@
     return true;
   }
 
-  private void readBody(DocumentIndex index) {
-    long most = index.document.limits().maxBodyBytes();
-    long declared = request.getLength();
-    if (declared > most) {
-      refuse(RefusalReason.BODY_TOO_LONG, declared + " bytes");
-      return;
-    }
-    if (declared == 0 || isBodyless()) {
-      watchCaller();
-      place();
-      return;
-    }
-    long reserve = declared > 0 ? declared : UNDECLARED_BODY_BYTES;
-    bodyReserved = reserve;
-    if (context.bodyMemory.addAndGet(reserve) > EntryContext.MAX_BODY_MEMORY) {
-      refuse(RefusalReason.NO_MEMORY, "bodies in memory");
-      return;
-    }
-    int limit = (int) Math.min(most, EntryContext.MAX_BODY_MEMORY);
-    Content.Source.asByteArrayAsync(request, limit)
-        .whenComplete(
-            (bytes, failure) -> {
-              if (failure instanceof IllegalStateException) {
-                refuse(RefusalReason.BODY_TOO_LONG, String.valueOf(failure.getMessage()));
-              } else if (failure != null) {
-                refuse(RefusalReason.BODY_INCOMPLETE, failure.toString());
-              } else {
-                bodyRead(bytes);
-              }
-            });
-  }
-
-  private boolean isBodyless() {
-    return request.getLength() < 0 && !request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
-  }
-
-  private void bodyRead(byte[] bytes) {
-    long more = bytes.length - bodyReserved;
-    if (more > 0) {
-      bodyReserved += more;
-      context.bodyMemory.addAndGet(more);
-    }
+  private void bodyRead(byte @Nullable [] bytes) {
     body = bytes;
-    watchCaller();
+    side.watch(this::callerLeft, this::expire, remainingMillis());
     place();
   }
 
-  private void watchCaller() {
-    watch = CallerWatch.begin(request, this::callerLeft);
-    long millis = Math.max(1, remainingMillis());
-    timeout = context.timer.schedule(this::expire, millis, TimeUnit.MILLISECONDS);
-  }
-
   private void callerLeft(Throwable cause) {
     callerGone = true;
     TargetCall call = current;
@@ -256,34 +197,40 @@
     }
     String objectKey = caller.objectKey();
     boolean named = objectKey != null;
-    long hash = Hashing.of(named ? objectKey + targets.name : String.valueOf(caller.id()));
+    objectHash = Hashing.of(named ? objectKey + targets.name : String.valueOf(caller.id()));
     byte[] bytes = body;
     Need need =
         new Need(
             targets,
             index.document.services().get(targets.name),
-            hash,
+            objectHash,
             named,
             context.state.settings.region(),
             homes(found),
             bytes == null ? 0 : bytes.length,
             tried,
-            rule);
-    Choice choice = context.state.selector.choose(need);
-    if (choice == null) {
-      VersionRule other = context.state.releases.fallback(targets.name, rule);
-      if (other != rule) {
-        rule = other;
-        place();
-        return;
-      }
+            rule,
+            found.targetLatencyMillis() * ON_TIME_PART - elapsedMillis(),
+            longestWait(found));
+    Outcome outcome = context.state.selector.choose(need);
+    if (outcome instanceof Choice choice) {
+      send(choice, bytes);
+      return;
     }
-    String hopeless = choice == null ? "no usable target" : hopeless(choice, found);
-    if (choice == null || hopeless != null) {
-      refuse(lastFailure, String.valueOf(hopeless) + lastReason);
+    VersionRule other = context.state.releases.fallback(targets.name, rule);
+    if (other != rule) {
+      rule = other;
+      place();
       return;
     }
-    send(choice, bytes);
+    refuse(lastFailure, describe(outcome) + lastReason);
+  }
+
+  private static String describe(Outcome outcome) {
+    if (outcome instanceof Outcome.None none && none.shortestWaitMillis() < Double.MAX_VALUE) {
+      return "wait of " + Math.round(none.shortestWaitMillis()) + " ms is too long. ";
+    }
+    return "no usable target. ";
   }
 
   private Set<String> homes(SteeringRoute found) {
@@ -299,25 +246,20 @@
     return both.isEmpty() ? Set.of("") : both;
   }
 
-  /** Tells why an answer cannot come in time, null if it can. */
-  private @Nullable String hopeless(Choice choice, SteeringRoute found) {
-    if (choice.waitMillis() >= remainingMillis()) {
-      return "wait of " + Math.round(choice.waitMillis()) + " ms is longer than the time left. ";
-    }
+  private double elapsedMillis() {
+    return (context.state.clock.nanoTime() - startNanos) / 1e6;
+  }
+
+  /** Returns how long the request may wait for a slot even if its answer is late then. */
+  private double longestWait(SteeringRoute found) {
     SteeringWorkspace holder = workspace;
     boolean ranked = holder != null && holder.priority() >= 0;
     int priority = ranked && holder != null ? holder.priority() : found.priority();
-    double elapsed = (context.state.clock.nanoTime() - startNanos) / 1e6;
-    double target = found.targetLatencyMillis();
-    double spare = target * ON_TIME_PART - elapsed - choice.workMillis();
-    double most = Math.max(spare, target * LATE_WAIT_PART);
+    double most = found.targetLatencyMillis() * LATE_WAIT_PART;
     if (priority <= URGENT_PRIORITY) {
       most *= URGENT_WAIT_FACTOR;
     }
-    if (choice.waitMillis() > most) {
-      return "wait of " + Math.round(choice.waitMillis()) + " ms is too long. ";
-    }
-    return null;
+    return Math.min(most, remainingMillis());
   }
 
   private void send(Choice choice, byte @Nullable [] bytes) {
@@ -344,7 +286,7 @@
             context.pool, context.wire, choice, message, this, context.state.clock.nanoTime());
     choice.target().inFlight.incrementAndGet();
     current = call;
-    if (finished.get()) {
+    if (side.isFinished()) {
       choice.target().inFlight.decrementAndGet();
       return;
     }
@@ -406,11 +348,15 @@
         return;
       }
     } else {
+      if (caller.objectKey() != null) {
+        target.recent.handled(objectHash);
+      }
       double work = Math.max(millis - call.choice.waitMillis(), millis * 0.2);
-      double usual = call.choice.rank() == 0 ? targets.warmMillis() : targets.coldMillis();
+      boolean cold = call.choice.heat() == ObjectHeat.COLD;
+      double usual = cold ? targets.coldMillis() : targets.warmMillis();
       target.succeeded(work / Math.max(1, usual), now);
       if (!target.isCold(now)) {
-        targets.measured(call.choice.rank(), work);
+        targets.measured(call.choice.heat(), work);
       }
     }
     deliver(call, end);
@@ -425,35 +371,21 @@
   }
 
   private void deliver(TargetCall call, End.Answered end) {
-    if (call.isStreaming()) {
-      end(end.status(), "served", "");
-      response.write(true, null, callback);
-      return;
-    }
-    if (!finish()) {
+    if (!side.finish()) {
       return;
     }
-    context.wire.copyAnswer(end.fields(), response.getHeaders());
-    response.setStatus(end.status());
-    addConnectionHeader();
     boolean plain = end.status() < 400 && attempts == 1;
     report(end.status(), plain ? "served" : "passed", "", !plain);
-    boolean bodyless = "HEAD".equals(request.getMethod()) || end.status() == 204;
-    if (!bodyless) {
-      response.getHeaders().put(HttpHeader.CONTENT_LENGTH, end.body().length);
-    }
-    response.write(true, bodyless ? null : ByteBuffer.wrap(end.body()), callback);
-  }
-
-  private void addConnectionHeader() {
-    if (context.state.isLeaving()) {
-      response.getHeaders().put(HttpHeader.CONNECTION, "close");
+    if (call.isStreaming()) {
+      side.complete();
+    } else {
+      side.deliver(end.status(), end.fields(), end.body());
     }
   }
 
   private void notSent(Target target, End.NotSent end) {
     count("not-sent");
-    if (!callerGone && !finished.get()) {
+    if (!callerGone && !side.isFinished()) {
       eject(target, end.reason());
     }
     failure(RefusalReason.NO_CAPACITY, end.reason(), false, true);
@@ -462,21 +394,19 @@
   private void broken(TargetCall call, Target target, End.Broken end) {
     arrivals++;
     count(end.timedOut() ? "timed-out" : "broken");
-    if (!callerGone && !finished.get()) {
+    if (!callerGone && !side.isFinished()) {
       long now = context.state.clock.nanoTime();
       context.state.releases.record(
           service().name, found().name(), target.record().version(), true);
+      target.failed(now);
       if (end.timedOut()) {
-        target.failed(now);
         context.pool.closeIdle(target.record());
-      } else {
-        target.failed(now);
       }
     }
     if (call.isStreaming()) {
-      if (finish()) {
+      if (side.finish()) {
         report(0, "broken-off", end.reason(), true);
-        callback.failed(new java.io.IOException(end.reason()));
+        side.breakOff(end.reason());
       }
       return;
     }
@@ -531,18 +461,16 @@
 
   @Override
   public boolean begin(TargetCall call, int status, HttpFields fields) {
-    if (finished.get()) {
+    if (side.isFinished()) {
       return false;
     }
-    context.wire.copyAnswer(fields, response.getHeaders());
-    response.setStatus(status);
-    addConnectionHeader();
+    side.begin(status, fields);
     return true;
   }
 
   @Override
   public void write(TargetCall call, ByteBuffer part, Runnable more) {
-    response.write(false, part, Callback.from(more, failure -> call.abort(failure.toString())));
+    side.write(part, more, failure -> call.abort(failure.toString()));
   }
 
   /** Answers in place of a target. */
@@ -551,18 +479,10 @@
     if (wanted.promisesNotRun() && mayHaveRun) {
       refusal = RefusalReason.TARGET_FAILED;
     }
-    if (!finish()) {
-      return;
-    }
-    response.setStatus(refusal.status());
-    if (refusal.promisesNotRun()) {
-      response.getHeaders().put(HttpHeader.RETRY_AFTER, retryAfter());
+    if (side.finish()) {
+      report(refusal.status(), refusal.name(), reason, true);
+      side.refuse(refusal, refusal.promisesNotRun() ? retryAfter() : null);
     }
-    addConnectionHeader();
-    byte[] text = (refusal.name() + "\n").getBytes(java.nio.charset.StandardCharsets.US_ASCII);
-    response.getHeaders().put(HttpHeader.CONTENT_LENGTH, text.length);
-    report(refusal.status(), refusal.name(), reason, true);
-    response.write(true, ByteBuffer.wrap(text), callback);
   }
 
   private String retryAfter() {
@@ -572,32 +492,10 @@
   }
 
   private void finishSilently(String reason) {
-    if (finish()) {
+    if (side.finish()) {
       report(0, "caller-left", reason, true);
-      callback.failed(new java.io.EOFException("the caller left"));
-    }
-  }
-
-  /** Takes the right to answer; only the first call gets it. */
-  private boolean finish() {
-    if (!finished.compareAndSet(false, true)) {
-      return false;
-    }
-    CallerWatch watching = watch;
-    if (watching != null) {
-      watching.end();
-    }
-    Scheduler.Task task = timeout;
-    if (task != null) {
-      task.cancel();
+      side.abandon();
     }
-    context.bodyMemory.addAndGet(-bodyReserved);
-    return true;
-  }
-
-  private void end(int status, String outcome, String reason) {
-    finish();
-    report(status, outcome, reason, false);
   }
 
   private void report(int status, String outcome, String reason, boolean logged) {
--- a/steering/src/main/java/verbenahatch/steering/Follower.java
+++ b/steering/src/main/java/verbenahatch/steering/Follower.java
@@ -118,12 +118,14 @@
   private boolean list() {
     Result<Changes<T>, FeedError> result = feed.list();
     if (!result.isOk()) {
+      relist = true;
       return lost(result.error());
     }
     Changes<T> changes = result.get();
     reached();
     // A list may come from a store that lags; it must not undo what a watch has shown.
     if (changes.revision() < revision) {
+      relist = true;
       return false;
     }
     apply.accept(changes, true);
--- a/steering/src/main/java/verbenahatch/steering/RegionShares.java
+++ b/steering/src/main/java/verbenahatch/steering/RegionShares.java
@@ -17,11 +17,6 @@
   /** Time in which shares follow the votes if the pace allows it, in seconds. */
   private static final double FOLLOW_SECONDS = 1;
 
-  /** Time after the first request in which shares follow at once, as there is nothing to move. */
-  private static final double START_SECONDS = 1.5;
-
-  private static final double START_FOLLOW_SECONDS = 0.3;
-
   /** The allowed shift is counted from one window of two seconds to the next. */
   private static final double WINDOW_SECONDS = 2;
 
@@ -35,7 +30,6 @@
 
   private final double maxShiftPerSecond;
   private final Map<String, Double> shares = new TreeMap<>();
-  private long firstNanos;
   private long lastNanos;
   private long counter;
 
@@ -43,6 +37,23 @@
     this.maxShiftPerSecond = maxShift * SHIFT_PART / WINDOW_SECONDS;
   }
 
+  /**
+   * Sets the shares before the first request.
+   *
+   * @param initial the shares by region; their sum is 1
+   * @param nowNanos the time
+   */
+  synchronized void start(Map<String, Double> initial, long nowNanos) {
+    if (shares.isEmpty()) {
+      shares.putAll(initial);
+      lastNanos = nowNanos;
+    }
+  }
+
+  synchronized boolean isStarted() {
+    return !shares.isEmpty();
+  }
+
   /**
    * Counts a vote and draws the region of this request.
    *
@@ -54,12 +65,6 @@
    */
   synchronized @Nullable String next(
       String vote, Set<String> usable, boolean lossNear, long nowNanos) {
-    if (shares.isEmpty()) {
-      shares.put(vote, 1.0);
-      firstNanos = nowNanos;
-      lastNanos = nowNanos;
-      return vote;
-    }
     follow(vote, lossNear, nowNanos);
     return draw(usable);
   }
@@ -67,15 +72,13 @@
   private void follow(String vote, boolean lossNear, long nowNanos) {
     double seconds = Math.max(0, (nowNanos - lastNanos) / 1e9);
     lastNanos = nowNanos;
-    boolean starting = (nowNanos - firstNanos) / 1e9 < START_SECONDS;
-    double tau = starting ? START_FOLLOW_SECONDS : FOLLOW_SECONDS;
-    double part = 1 - Math.exp(-seconds / tau);
+    double part = 1 - Math.exp(-seconds / FOLLOW_SECONDS);
     double most = maxShiftPerSecond * Math.min(seconds, WINDOW_SECONDS);
     if (lossNear) {
       most *= LOSS_FACTOR;
     }
     double wanted = part * (1 - shares.getOrDefault(vote, 0.0));
-    double moved = starting ? wanted : Math.min(wanted, most);
+    double moved = Math.min(wanted, most);
     double before = 1 - shares.getOrDefault(vote, 0.0);
     if (before <= 0) {
       return;
--- a/steering/src/main/java/verbenahatch/steering/ReleaseTable.java
+++ b/steering/src/main/java/verbenahatch/steering/ReleaseTable.java
@@ -357,12 +357,13 @@
         continue;
       }
       // An entry without a route carries the time and the halt while there are no counts.
-      beat.addEvidence(evidence(release, "", new Counts()));
-      release.routes.forEach((route, counts) -> beat.addEvidence(evidence(release, route, counts)));
+      beat.addEvidence(describeRoute(release, "", new Counts()));
+      release.routes.forEach(
+          (route, counts) -> beat.addEvidence(describeRoute(release, route, counts)));
     }
   }
 
-  private static ReleaseEvidence evidence(Release release, String route, Counts counts) {
+  private static ReleaseEvidence describeRoute(Release release, String route, Counts counts) {
     return ReleaseEvidence.newBuilder()
         .setService(release.order.service())
         .setVersion(release.order.version())
--- a/steering/src/main/java/verbenahatch/steering/ServiceTargets.java
+++ b/steering/src/main/java/verbenahatch/steering/ServiceTargets.java
@@ -59,10 +59,10 @@
   }
 
   /** Measures an answer; lost updates of concurrent answers do no harm to a mean. */
-  void measured(int rank, double millis) {
-    if (rank == 0) {
+  void measured(ObjectHeat heat, double millis) {
+    if (heat == ObjectHeat.WARM) {
       warmMillis = warmMillis + TIME_WEIGHT * (millis - warmMillis);
-    } else if (rank >= TargetSelector.RANKS) {
+    } else if (heat == ObjectHeat.COLD) {
       coldMillis = coldMillis + TIME_WEIGHT * (millis - coldMillis);
     }
   }
--- a/steering/src/main/java/verbenahatch/steering/SteeringState.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringState.java
@@ -301,6 +301,7 @@
             .setStoreReachable(storeReachable())
             .setDocumentVersion(now == null ? 0 : now.document.version())
             .setTargetsRevision(targetFeed.revision());
+    beat.addAllUses(targets.exchangeUse(hosts.live()));
     quotas.describe(beat);
     releases.describe(beat);
     return beat.build();
--- a/steering/src/main/java/verbenahatch/steering/Target.java
+++ b/steering/src/main/java/verbenahatch/steering/Target.java
@@ -17,8 +17,11 @@
   /** Weight of the newest load report in the mean of other hosts' load. */
   private static final double REPORT_WEIGHT = 0.5;
 
-  /** Reports of other hosts' load lose half of their weight in this time. */
-  private static final double REPORT_HALF_LIFE_MILLIS = 2_000;
+  /**
+   * Reports of a target lose half of their weight in this time against the beats of other hosts,
+   * which come about as often.
+   */
+  private static final double REPORT_HALF_LIFE_MILLIS = 300;
 
   /** Weight of the newest outcome in the share of failures. */
   private static final double FAILURE_WEIGHT = 0.15;
@@ -42,6 +45,7 @@
   final String region;
   final long idHash;
   final AtomicInteger inFlight = new AtomicInteger();
+  final RecentObjects recent = new RecentObjects();
   private volatile TargetRecord record;
   private volatile long coldUntilNanos;
   private volatile long ejectedUntilNanos;
@@ -50,6 +54,7 @@
   private final AtomicInteger failuresInRow = new AtomicInteger();
   private volatile double othersLoad;
   private volatile long reportNanos;
+  private volatile int usedByPeers;
   private volatile double failureShare;
   private volatile long failureNanos;
   private volatile double slowness = 1;
@@ -123,7 +128,13 @@
 
   /** Estimates the requests that run or wait at the target. */
   double load(long nowNanos) {
-    return inFlight.get() + othersLoad * decay(nowNanos - reportNanos, REPORT_HALF_LIFE_MILLIS);
+    double fresh = decay(nowNanos - reportNanos, REPORT_HALF_LIFE_MILLIS);
+    return inFlight.get() + othersLoad * fresh + usedByPeers * (1 - fresh);
+  }
+
+  /** Takes the requests that other hosts say they have in flight at the target. */
+  void usedByPeers(int requests) {
+    usedByPeers = requests;
   }
 
   double failureShare(long nowNanos) {
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -1,5 +1,6 @@
 package verbenahatch.steering;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -30,6 +31,9 @@
   /** Cost of a certain failure, in milliseconds: a repeat and its wait. */
   private static final double FAILURE_MILLIS = 2_500;
 
+  /** Use of the own region's slots, relative to the mean, at which first requests leave it. */
+  private static final double OWN_REGION_PREFERENCE = 1.5;
+
   /** Use of a region's slots above which their time has a price. */
   private static final double PRICED_USE = 0.5;
 
@@ -42,46 +46,6 @@
   /** Weight of a nearly full target, whose next request is likely to wait. */
   private static final double CROWDING_WEIGHT = 0.3;
 
-  /** Places in the hash order that are told apart; an object overflows to the next place. */
-  static final int RANKS = 3;
-
-  /** Part of the time for a cold object that each place takes on top of that for a warm one. */
-  private static final double[] COLD_PART = {0, 0.8, 0.9, 1};
-
-  /** The first targets of a region for an object. */
-  private static final class Ranking {
-
-    private final Target[] targets = new Target[RANKS];
-    private final long[] hashes = new long[RANKS];
-    private int size;
-
-    void add(Target target, long hash) {
-      int place = size;
-      while (place > 0 && hash < hashes[place - 1]) {
-        place--;
-      }
-      if (place >= RANKS) {
-        return;
-      }
-      size = Math.min(RANKS, size + 1);
-      for (int i = size - 1; i > place; i--) {
-        targets[i] = targets[i - 1];
-        hashes[i] = hashes[i - 1];
-      }
-      targets[place] = target;
-      hashes[place] = hash;
-    }
-
-    int of(Target target) {
-      for (int i = 0; i < size; i++) {
-        if (targets[i] == target) {
-          return i;
-        }
-      }
-      return RANKS;
-    }
-  }
-
   /**
    * Describes a request to the selector.
    *
@@ -94,6 +58,8 @@
    * @param bodyBytes the bytes of the request's body
    * @param tried the targets that had the request already
    * @param rule the versions that the request may use
+   * @param spareMillis the time until the target latency is over
+   * @param waitMillis the time for which the request may wait for a slot even if it is late then
    */
   record Need(
       ServiceTargets service,
@@ -104,18 +70,33 @@
       Set<String> homes,
       long bodyBytes,
       Set<Target> tried,
-      VersionRule rule) {}
+      VersionRule rule,
+      double spareMillis,
+      double waitMillis) {}
+
+  /** Tells where a request goes. */
+  sealed interface Outcome {
+
+    /**
+     * No target may take the request.
+     *
+     * @param shortestWaitMillis the wait at the best target; the largest number if none is usable
+     */
+    record None(double shortestWaitMillis) implements Outcome {}
+  }
 
   /**
    * Holds a choice.
    *
    * @param target the target
-   * @param rank the place of the target in the hash order of its region for the object
+   * @param heat whether the target probably holds the object
    * @param costMillis the time after which the answer is expected, with the price of slots
    * @param waitMillis the part of it for which the request waits for a slot
    * @param workMillis the part of it for which the target works
    */
-  record Choice(Target target, int rank, double costMillis, double waitMillis, double workMillis) {}
+  record Choice(
+      Target target, ObjectHeat heat, double costMillis, double waitMillis, double workMillis)
+      implements Outcome {}
 
   private final Clock clock;
   private final TargetTable table;
@@ -127,54 +108,80 @@
     this.hosts = hosts;
   }
 
-  /** Chooses a target, null if none may take the request. */
-  @Nullable Choice choose(Need need) {
+  /** Chooses a target among those at which the request waits no longer than it may. */
+  Outcome choose(Need need) {
     long now = clock.nanoTime();
-    List<Target> targets = need.service.targets;
-    Map<String, Ranking> rankings = new HashMap<>();
-    for (Target target : targets) {
-      if (need.named && isUsable(target, need, now)) {
-        long hash = Hashing.mix(target.idHash ^ need.objectHash);
-        rankings.computeIfAbsent(target.region, region -> new Ranking()).add(target, hash);
+    List<Target> usable = new ArrayList<>();
+    for (Target target : need.service.targets) {
+      if (isUsable(target, need, now)) {
+        usable.add(target);
       }
     }
-    Map<String, Double> prices = slotPrices(targets, need, now);
+    Map<String, Target> first = firstForObject(usable, need);
+    Map<String, Double> prices = slotPrices(usable, now);
     Map<String, Choice> byRegion = new HashMap<>();
-    Choice best = null;
-    for (Target target : targets) {
-      if (!isUsable(target, need, now)) {
-        continue;
-      }
-      Ranking ranking = rankings.get(target.region);
-      int rank = ranking == null ? RANKS : ranking.of(target);
-      Choice choice = estimate(target, rank, need, prices.getOrDefault(target.region, 0.0), now);
+    double shortest = Double.MAX_VALUE;
+    for (Target target : usable) {
+      double price = prices.getOrDefault(target.region, 0.0);
+      Choice choice = estimate(target, heat(target, first, need), need, price, now);
       if (choice == null) {
         continue;
       }
-      byRegion.merge(target.region, choice, TargetSelector::sooner);
-      best = best == null ? choice : sooner(best, choice);
+      shortest = Math.min(shortest, choice.waitMillis);
+      // Under load a request does not evade a queue to a target where its object is cold: that
+      // takes
+      // more slot time than it saves and keeps the overload alive.
+      if (price > 0 || choice.waitMillis <= longestWait(choice, need)) {
+        byRegion.merge(target.region, choice, TargetSelector::sooner);
+      }
     }
-    best = best == null ? null : paced(best, byRegion, need, now);
-    if (best != null && best.target.isCold(now) && !takeWarmUp(best.target, need, now)) {
-      return null;
+    if (byRegion.isEmpty()) {
+      return new Outcome.None(shortest);
+    }
+    Choice best = paced(byRegion, need, now);
+    if (best.waitMillis > longestWait(best, need)) {
+      return new Outcome.None(best.waitMillis);
+    }
+    if (best.target.isCold(now) && !takeWarmUp(best.target, need, now)) {
+      return new Outcome.None(Double.MAX_VALUE);
     }
     return best;
   }
 
+  private static double longestWait(Choice choice, Need need) {
+    return Math.max(need.spareMillis - choice.workMillis, need.waitMillis);
+  }
+
+  /** Finds the first target of each region in the hash order of the object. */
+  private static Map<String, Target> firstForObject(List<Target> usable, Need need) {
+    Map<String, Target> first = new HashMap<>();
+    if (!need.named) {
+      return first;
+    }
+    Map<String, Long> lowest = new HashMap<>();
+    for (Target target : usable) {
+      long hash = Hashing.mix(target.idHash ^ need.objectHash);
+      Long known = lowest.get(target.region);
+      if (known == null || hash < known) {
+        lowest.put(target.region, hash);
+        first.put(target.region, target);
+      }
+    }
+    return first;
+  }
+
   /**
    * Prices the time of slots by region.
    *
    * <p>Under load a request that takes long, because its object is cold at the target, takes the
    * place of several others.
    */
-  private Map<String, Double> slotPrices(List<Target> targets, Need need, long now) {
+  private static Map<String, Double> slotPrices(List<Target> usable, long now) {
     Map<String, double[]> sums = new HashMap<>();
-    for (Target target : targets) {
-      if (isUsable(target, need, now)) {
-        double[] sum = sums.computeIfAbsent(target.region, region -> new double[2]);
-        sum[0] += target.load(now);
-        sum[1] += Math.max(1, target.record().slots());
-      }
+    for (Target target : usable) {
+      double[] sum = sums.computeIfAbsent(target.region, region -> new double[2]);
+      sum[0] += target.load(now);
+      sum[1] += Math.max(1, target.record().slots());
     }
     Map<String, Double> prices = new HashMap<>();
     sums.forEach(
@@ -185,16 +192,63 @@
     return prices;
   }
 
+  private static ObjectHeat heat(Target target, Map<String, Target> first, Need need) {
+    if (!need.named) {
+      return ObjectHeat.COLD;
+    }
+    if (target.recent.contains(need.objectHash)) {
+      return ObjectHeat.WARM;
+    }
+    return first.get(target.region) == target ? ObjectHeat.LIKELY_WARM : ObjectHeat.COLD;
+  }
+
   private static Choice sooner(Choice one, Choice other) {
     return other.costMillis < one.costMillis ? other : one;
   }
 
-  private static Choice paced(Choice best, Map<String, Choice> byRegion, Need need, long now) {
+  /**
+   * Divides the first requests by the slots of the regions.
+   *
+   * <p>Regions are taken to have equal demand until queues tell otherwise, and a region's own
+   * targets may be used above the mean before requests leave it.
+   */
+  private static Map<String, Double> initialShares(Set<String> regions, Need need) {
+    Map<String, Double> slots = new HashMap<>();
+    double all = 0;
+    for (Target target : need.service.targets) {
+      if (regions.contains(target.region)) {
+        slots.merge(target.region, (double) Math.max(1, target.record().slots()), Double::sum);
+        all += Math.max(1, target.record().slots());
+      }
+    }
+    double own = slots.getOrDefault(need.region, 0.0);
+    boolean alone = own >= all;
+    double kept = alone ? 1 : Math.min(1, OWN_REGION_PREFERENCE * own * slots.size() / all);
+    Map<String, Double> shares = new HashMap<>();
+    for (Map.Entry<String, Double> entry : slots.entrySet()) {
+      boolean isOwn = entry.getKey().equals(need.region);
+      shares.put(entry.getKey(), isOwn ? kept : (1 - kept) * entry.getValue() / (all - own));
+    }
+    return shares;
+  }
+
+  private static Choice paced(Map<String, Choice> byRegion, Need need, long now) {
+    Choice best = null;
+    for (Choice choice : byRegion.values()) {
+      best = best == null ? choice : sooner(best, choice);
+    }
+    if (best == null) {
+      throw new IllegalArgumentException("no choice");
+    }
     if (!need.tried.isEmpty()) {
       return best;
     }
+    RegionShares regions = need.service.regions;
+    if (!regions.isStarted()) {
+      regions.start(initialShares(byRegion.keySet(), need), now);
+    }
     boolean lossNear = need.service.isLossNear(now);
-    String region = need.service.regions.next(best.target.region, byRegion.keySet(), lossNear, now);
+    String region = regions.next(best.target.region, byRegion.keySet(), lossNear, now);
     Choice drawn = region == null ? null : byRegion.get(region);
     return drawn == null ? best : drawn;
   }
@@ -231,7 +285,7 @@
   }
 
   private @Nullable Choice estimate(
-      Target target, int rank, Need need, double slotPrice, long now) {
+      Target target, ObjectHeat heat, Need need, double slotPrice, long now) {
     int slots = Math.max(1, target.record().slots());
     double load = target.load(now);
     if (load >= slots * MAX_LOAD_PER_SLOT) {
@@ -239,7 +293,7 @@
     }
     ServiceTargets service = need.service;
     double extra = service.coldMillis() - service.warmMillis();
-    double work = service.warmMillis() + extra * COLD_PART[rank];
+    double work = service.warmMillis() + extra * heat.coldPart();
     work *= target.slowness(now);
     if (target.isCold(now)) {
       work *= COLD_TARGET_FACTOR;
@@ -252,6 +306,6 @@
     if (!target.region.equals(need.region)) {
       expected += REMOTE_REGION_MILLIS + need.bodyBytes / 1024.0 * REMOTE_KILOBYTE_MILLIS;
     }
-    return new Choice(target, rank, expected + slotPrice * work, wait, work);
+    return new Choice(target, heat, expected + slotPrice * work, wait, work);
   }
 }
--- a/steering/src/main/java/verbenahatch/steering/TargetTable.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetTable.java
@@ -12,6 +12,8 @@
 import org.jspecify.annotations.Nullable;
 import verbenahatch.kernel.Clock;
 import verbenahatch.kernel.Events;
+import verbenahatch.peer.generated.HostBeat;
+import verbenahatch.peer.generated.TargetUse;
 import verbenahatch.steering.model.TargetRecord;
 
 /**
@@ -70,6 +72,25 @@
     rebuild();
   }
 
+  /** Takes over what other hosts have in flight, and lists what this host has. */
+  synchronized List<TargetUse> exchangeUse(List<HostBeat> beats) {
+    Map<Long, Integer> sums = new HashMap<>();
+    for (HostBeat beat : beats) {
+      for (TargetUse use : beat.getUsesList()) {
+        sums.merge(use.getTarget(), use.getInFlight(), Integer::sum);
+      }
+    }
+    List<TargetUse> own = new ArrayList<>();
+    for (Target target : byId.values()) {
+      target.usedByPeers(sums.getOrDefault(target.idHash, 0));
+      int inFlight = target.inFlight.get();
+      if (inFlight > 0) {
+        own.add(TargetUse.newBuilder().setTarget(target.idHash).setInFlight(inFlight).build());
+      }
+    }
+    return own;
+  }
+
   /** Tells that the registry answers again after an outage. */
   synchronized void registryReturned() {
     inReturn = true;
--- /dev/null
+++ b/steering/src/test/java/verbenahatch/steering/RecentObjectsTest.java
@@ -0,0 +1,37 @@
+package verbenahatch.steering;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.Random;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against a memory of objects that forgets the wrong ones. */
+class RecentObjectsTest {
+
+  private static final int SIZE = 24;
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3, 4})
+  void remembersTheObjectsHandledLast(long seed) {
+    Random random = new Random(seed);
+    RecentObjects recent = new RecentObjects();
+    Deque<Long> expected = new ArrayDeque<>();
+    for (int i = 0; i < 500; i++) {
+      long object = random.nextInt(40);
+      recent.handled(object);
+      expected.remove(object);
+      expected.addFirst(object);
+      if (expected.size() > SIZE) {
+        expected.removeLast();
+      }
+      for (long each = 0; each < 40; each++) {
+        assertEquals(expected.contains(each), recent.contains(each), "seed " + seed);
+      }
+    }
+    assertTrue(expected.size() == SIZE);
+  }
+}
--- a/steering/src/test/java/verbenahatch/steering/RegionSharesTest.java
+++ b/steering/src/test/java/verbenahatch/steering/RegionSharesTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Map;
 import java.util.Set;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -17,6 +18,7 @@
 
   private static RegionShares settled(int perSecond) {
     RegionShares shares = new RegionShares(MAX_SHIFT);
+    shares.start(Map.of("a", 1.0), 0);
     for (int i = 0; i < 5 * perSecond; i++) {
       shares.next("a", BOTH, false, i * SECOND / perSecond);
     }
@@ -35,6 +37,17 @@
     assertEquals(1.0, shares.share("a") + shares.share("b"), 1e-9);
   }
 
+  /** The first seconds count too: casa-abierta broke the bound at 2 s of a day. */
+  @Test
+  void firstSecondsArePacedToo() {
+    RegionShares shares = new RegionShares(MAX_SHIFT);
+    shares.start(Map.of("a", 1.0), 0);
+    for (int i = 0; i < 100; i++) {
+      shares.next("b", BOTH, false, i * SECOND / 50);
+    }
+    assertTrue(shares.share("b") <= MAX_SHIFT);
+  }
+
   /** A request must run somewhere when the regions with a share cannot take it. */
   @Test
   void drawsOnlyUsableRegions() {
