Serve only after every object was read; keep one copy of hash and even sequence

Cause: a host that started again served as soon as it held document and targets; without the orders of releases, evacuations and the other hosts it could use what they forbid and a whole quota. The retry budget of such a host was divided by one host. Ruled out: waiting for peers, which a cut host has none of.

--- a/fleet/src/main/java/verbenahatch/fleet/FleetCore.java
+++ b/fleet/src/main/java/verbenahatch/fleet/FleetCore.java
@@ -12,6 +12,7 @@
 import java.util.function.Predicate;
 import verbenahatch.kernel.Clock;
 import verbenahatch.kernel.Events;
+import verbenahatch.kernel.Hashing;
 
 /**
  * Holds members, contacts and facts, and derives freshness from them.
@@ -315,7 +316,7 @@
       long inContact = 0;
       for (Member member : record.members()) {
         if (isInContact(member.incarnation())) {
-          inContact += Rendezvous.mix(member.incarnation().hashCode());
+          inContact += Hashing.mix(member.incarnation().hashCode());
         }
       }
       changed = lapsing.removeIf(this::isLapsed) || inContact != contactsSeen;
--- a/fleet/src/main/java/verbenahatch/fleet/Membership.java
+++ b/fleet/src/main/java/verbenahatch/fleet/Membership.java
@@ -5,6 +5,7 @@
 import java.util.Optional;
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
+import verbenahatch.kernel.Hashing;
 import verbenahatch.kernel.JsonException;
 import verbenahatch.kernel.Result;
 import verbenahatch.store.StoreError;
@@ -182,7 +183,7 @@
    */
   private long joinDelayNanos(Member self) {
     long range = 1L << Math.min(5, conflicts);
-    long share = Math.floorMod(Rendezvous.mix(self.incarnation().hashCode() + conflicts), range);
+    long share = Math.floorMod(Hashing.mix(self.incarnation().hashCode() + conflicts), range);
     return Timing.JOIN_INTERVAL.toNanos() * (1 + share);
   }
 
--- a/fleet/src/main/java/verbenahatch/fleet/ObjectSpread.java
+++ b/fleet/src/main/java/verbenahatch/fleet/ObjectSpread.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.ConcurrentHashMap;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.kernel.Events;
+import verbenahatch.kernel.Hashing;
 import verbenahatch.kernel.Json;
 import verbenahatch.kernel.JsonException;
 
@@ -138,7 +139,7 @@
   private long computeDigest() {
     long sum = 0;
     for (Held object : held.values()) {
-      sum += Rendezvous.mix(Rendezvous.mix(object.name().hashCode()) ^ object.generation());
+      sum += Hashing.mix(Hashing.mix(object.name().hashCode()) ^ object.generation());
     }
     return sum;
   }
--- a/fleet/src/main/java/verbenahatch/fleet/Rendezvous.java
+++ b/fleet/src/main/java/verbenahatch/fleet/Rendezvous.java
@@ -4,6 +4,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
+import verbenahatch.kernel.Hashing;
 
 /**
  * Assigns roles to members by rendezvous hashing: every host that sees the same candidates names
@@ -34,18 +35,10 @@
   }
 
   private static long weight(String role, String incarnation) {
-    long hash = mix(role.hashCode());
+    long hash = Hashing.mix(role.hashCode());
     for (int i = 0; i < incarnation.length(); i++) {
-      hash = mix(hash ^ incarnation.charAt(i));
+      hash = Hashing.mix(hash ^ incarnation.charAt(i));
     }
     return hash;
   }
-
-  /** Spreads every input bit over the result, with the constants of SplitMix64. */
-  static long mix(long value) {
-    long mixed = value + 0x9E3779B97F4A7C15L;
-    mixed = (mixed ^ (mixed >>> 30)) * 0xBF58476D1CE4E5B9L;
-    mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
-    return mixed ^ (mixed >>> 31);
-  }
 }
--- /dev/null
+++ b/kernel/src/main/java/verbenahatch/kernel/Hashing.java
@@ -0,0 +1,36 @@
+package verbenahatch.kernel;
+
+/** Hashes names equally on every host. Not for secrets: the hashes can be inverted. */
+public final class Hashing {
+
+  private static final long SEED = 0x9E3779B97F4A7C15L;
+
+  private Hashing() {}
+
+  /**
+   * Hashes a text over all of its characters.
+   *
+   * @param text the text, possibly empty
+   * @return the hash
+   */
+  public static long of(String text) {
+    long hash = SEED;
+    for (int i = 0; i < text.length(); i++) {
+      hash = mix(hash ^ text.charAt(i));
+    }
+    return hash;
+  }
+
+  /**
+   * Spreads every input bit over the result, with the constants of SplitMix64.
+   *
+   * @param value any value
+   * @return the mixed value
+   */
+  public static long mix(long value) {
+    long mixed = value + SEED;
+    mixed = (mixed ^ (mixed >>> 30)) * 0xBF58476D1CE4E5B9L;
+    mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
+    return mixed ^ (mixed >>> 31);
+  }
+}
--- a/steering/src/main/java/verbenahatch/steering/DocumentIndex.java
+++ b/steering/src/main/java/verbenahatch/steering/DocumentIndex.java
@@ -5,31 +5,28 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.atomic.AtomicLong;
 import org.jspecify.annotations.Nullable;
+import verbenahatch.kernel.Hashing;
 import verbenahatch.model.KeyHash;
 import verbenahatch.steering.model.SteeringDocument;
 import verbenahatch.steering.model.SteeringDocument.RoutePart;
 import verbenahatch.steering.model.SteeringDocument.SteeringRoute;
 import verbenahatch.steering.model.SteeringDocument.SteeringWorkspace;
 
-/** Finds routes and workspaces of one document. Immutable but for the counters of split routes. */
+/** Finds routes and workspaces of one document. Immutable but for the sequences of split routes. */
 final class DocumentIndex {
 
-  /** The golden ratio's fraction spreads a counter evenly over parts of any weight. */
-  private static final double GOLDEN_FRACTION = 0.6180339887498949;
-
   final SteeringDocument document;
   private final Map<String, List<SteeringRoute>> byHost = new HashMap<>();
   private final Map<String, SteeringWorkspace> byKeyHash = new HashMap<>();
-  private final Map<String, AtomicLong> counters = new HashMap<>();
+  private final Map<String, EvenSequence> sequences = new HashMap<>();
 
   DocumentIndex(SteeringDocument document) {
     this.document = document;
     for (SteeringRoute route : document.routes()) {
       byHost.computeIfAbsent(route.host(), host -> new ArrayList<>()).add(route);
       if (route.parts().size() > 1) {
-        counters.put(route.name(), new AtomicLong(Hashing.of(route.name()) >>> 40));
+        sequences.put(route.name(), new EvenSequence(Hashing.of(route.name()) >>> 40));
       }
     }
     Comparator<SteeringRoute> longestFirst =
@@ -62,15 +59,15 @@
   /** Picks the service of a request so that the parts keep their weights also over few requests. */
   String nextService(SteeringRoute route) {
     List<RoutePart> parts = route.parts();
-    AtomicLong counter = counters.get(route.name());
-    if (counter == null) {
+    EvenSequence sequence = sequences.get(route.name());
+    if (sequence == null) {
       return parts.get(0).service();
     }
     double sum = 0;
     for (RoutePart part : parts) {
       sum += part.weight();
     }
-    double point = (counter.getAndIncrement() * GOLDEN_FRACTION) % 1.0 * sum;
+    double point = sequence.next() * sum;
     for (RoutePart part : parts) {
       point -= part.weight();
       if (point < 0) {
--- a/steering/src/main/java/verbenahatch/steering/EntryContext.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryContext.java
@@ -14,6 +14,9 @@
   /** Part of the shared retry budget that is used; the rest covers hosts that count late. */
   private static final double BUDGET_PART = 0.6;
 
+  /** Hosts among which the budget is divided at least, as records may arrive after requests. */
+  private static final int MIN_HOSTS = 8;
+
   /** Memory for bodies of requests that are being read or repeated, in bytes. */
   static final long MAX_BODY_MEMORY = 64L * 1024 * 1024;
 
@@ -49,7 +52,8 @@
         service,
         name -> {
           double slack = state.settings.bounds().retrySlack() * BUDGET_PART;
-          int reserve = (int) Math.max(1, Math.floor(slack / Math.max(1, state.hosts.count())));
+          int reserve =
+              (int) Math.max(1, Math.floor(slack / Math.max(MIN_HOSTS, state.hosts.count())));
           return new RetryBudget(state.settings.bounds().retryRatio() * BUDGET_PART, reserve);
         });
   }
--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -11,6 +11,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
+import verbenahatch.kernel.Hashing;
 import verbenahatch.steering.ReleaseTable.VersionRule;
 import verbenahatch.steering.TargetCall.End;
 import verbenahatch.steering.TargetSelector.Choice;
@@ -95,8 +96,8 @@
       refuse(RefusalReason.STOPPING, "stopping");
       return;
     }
-    if (index == null || !context.state.targets.isListed()) {
-      refuse(RefusalReason.NO_DOCUMENT, "no document or no targets yet");
+    if (index == null || !context.state.isInformed()) {
+      refuse(RefusalReason.NO_DOCUMENT, "not all objects of the store were read yet");
       return;
     }
     String path = request.getHttpURI().getPath();
--- a/steering/src/main/java/verbenahatch/steering/HostTable.java
+++ b/steering/src/main/java/verbenahatch/steering/HostTable.java
@@ -11,6 +11,7 @@
 import org.jspecify.annotations.Nullable;
 import verbenahatch.kernel.Clock;
 import verbenahatch.kernel.Events;
+import verbenahatch.kernel.Hashing;
 import verbenahatch.peer.generated.HostBeat;
 import verbenahatch.steering.model.HostRecord;
 import verbenahatch.steering.model.SteeringSettings;
--- a/steering/src/main/java/verbenahatch/steering/RefusalReason.java
+++ b/steering/src/main/java/verbenahatch/steering/RefusalReason.java
@@ -6,7 +6,7 @@
  * Names the answers that a host gives in place of a target; docs/refusals-platform.md lists them.
  */
 enum RefusalReason {
-  /** The host holds no document yet. */
+  /** The host has not read all objects of the store yet. */
   NO_DOCUMENT(HttpStatus.SERVICE_UNAVAILABLE_503),
   /** The host is about to end. */
   STOPPING(HttpStatus.SERVICE_UNAVAILABLE_503),
--- a/steering/src/main/java/verbenahatch/steering/RegionShares.java
+++ b/steering/src/main/java/verbenahatch/steering/RegionShares.java
@@ -26,12 +26,10 @@
   /** Shares follow this many times as fast after a region has lost part of its targets. */
   private static final double LOSS_FACTOR = 5;
 
-  private static final double GOLDEN_FRACTION = 0.6180339887498949;
-
   private final double maxShiftPerSecond;
   private final Map<String, Double> shares = new TreeMap<>();
+  private final EvenSequence draws = new EvenSequence(0);
   private long lastNanos;
-  private long counter;
 
   RegionShares(double maxShift) {
     this.maxShiftPerSecond = maxShift * SHIFT_PART / WINDOW_SECONDS;
@@ -98,7 +96,7 @@
     if (sum < 0.001) {
       return null;
     }
-    double point = (counter++ * GOLDEN_FRACTION) % 1.0 * sum;
+    double point = draws.next() * sum;
     String last = null;
     for (Map.Entry<String, Double> entry : shares.entrySet()) {
       if (!usable.contains(entry.getKey())) {
--- a/steering/src/main/java/verbenahatch/steering/ReleaseTable.java
+++ b/steering/src/main/java/verbenahatch/steering/ReleaseTable.java
@@ -6,7 +6,6 @@
 import java.util.Map;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.LongAdder;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.kernel.Clock;
@@ -56,8 +55,6 @@
   /** An unknown version gets no request for this time, since its order may be on the way. */
   private static final long UNKNOWN_VERSION_MILLIS = 1_500;
 
-  private static final double GOLDEN_FRACTION = 0.6180339887498949;
-
   /** Counts of one route. */
   private static final class Counts {
     final LongAdder newRequests = new LongAdder();
@@ -72,7 +69,7 @@
     volatile long elapsedMillis;
     volatile boolean halted;
     volatile double share;
-    final AtomicLong counter = new AtomicLong();
+    final EvenSequence draws = new EvenSequence(0);
     final Map<String, Counts> routes = new ConcurrentHashMap<>();
 
     Release(ReleaseOrder order, long nowNanos) {
@@ -161,8 +158,9 @@
     if (release.halted || state == State.ROLLED_BACK) {
       return new VersionRule(null, version);
     }
-    double point = (release.counter.getAndIncrement() * GOLDEN_FRACTION) % 1.0;
-    return point < release.share ? new VersionRule(version, null) : new VersionRule(null, version);
+    return release.draws.next() < release.share
+        ? new VersionRule(version, null)
+        : new VersionRule(null, version);
   }
 
   /** Returns the rule for a request that its first rule left without a target. */
--- a/steering/src/main/java/verbenahatch/steering/SteeringState.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringState.java
@@ -194,9 +194,23 @@
     return document.get();
   }
 
+  /**
+   * Tells whether this host has read everything that decides about requests.
+   *
+   * <p>Without the orders of releases, evacuations or the other hosts it would use targets or parts
+   * of quotas that it must not use.
+   */
+  boolean isInformed() {
+    return document.get() != null
+        && targetFeed.isListed()
+        && releaseFeed.isListed()
+        && evacuationFeed.isListed()
+        && hostFeed.isListed();
+  }
+
   /** Tells whether this host can serve callers. */
   boolean isReady() {
-    return !leaving && document.get() != null && targetFeed.isListed() && targets.size() > 0;
+    return !leaving && isInformed() && targets.size() > 0;
   }
 
   boolean isLeaving() {
--- a/steering/src/main/java/verbenahatch/steering/Target.java
+++ b/steering/src/main/java/verbenahatch/steering/Target.java
@@ -3,6 +3,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
+import verbenahatch.kernel.Hashing;
 import verbenahatch.steering.model.TargetRecord;
 import verbenahatch.steering.model.WireProtocol.TargetLoad;
 
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.kernel.Clock;
+import verbenahatch.kernel.Hashing;
 import verbenahatch.steering.ReleaseTable.VersionRule;
 import verbenahatch.steering.model.SteeringDocument.SteeringService;
 import verbenahatch.steering.model.TargetRecord;
--- a/steering/src/main/java/verbenahatch/steering/TargetTable.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetTable.java
@@ -37,7 +37,6 @@
   private volatile Set<String> evacuated = Set.of();
   private long returnNanos;
   private boolean inReturn;
-  private volatile boolean listed;
 
   TargetTable(
       Clock clock, Events events, Map<String, String> regionsByZone, double maxRegionShift) {
@@ -52,7 +51,6 @@
     Set<String> gone = new HashSet<>(byId.keySet());
     gone.removeAll(records.keySet());
     change(records.values(), gone);
-    listed = true;
   }
 
   /** Applies changes of the registry. */
@@ -180,10 +178,6 @@
     return byId.get(id);
   }
 
-  boolean isListed() {
-    return listed;
-  }
-
   synchronized int size() {
     return byId.size();
   }
--- a/steering/src/test/java/verbenahatch/steering/TargetSelectorTest.java
+++ b/steering/src/test/java/verbenahatch/steering/TargetSelectorTest.java
@@ -16,6 +16,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import verbenahatch.kernel.Events;
+import verbenahatch.kernel.Hashing;
 import verbenahatch.kernel.ManualClock;
 import verbenahatch.steering.ReleaseTable.VersionRule;
 import verbenahatch.steering.TargetSelector.Choice;
