--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -30,32 +30,12 @@
  */
 final class EntryExchange implements TargetCall.Listener {
 
-  /** A caller comes back after a refusal within this part of the time it has left. */
-  private static final double RETRY_AFTER_PART = 0.3;
-
-  /** Pause that a refused caller is asked for, so that queues at targets shorten. */
-  private static final double MAX_RETRY_AFTER_MILLIS = 250;
-
   /** An answer below this part of the remaining time is not worth a repeat. */
   private static final long MIN_REPEAT_MILLIS = 100;
 
-  /** A try of an idempotent request is given up after this many times the expected time. */
-  private static final double SLOW_TRY_FACTOR = 3;
-
-  private static final double MIN_TRY_MILLIS = 500;
-
   /** A request waits for a slot only if it is then still answered in this part of its target. */
   private static final double ON_TIME_PART = 1.0;
 
-  /** A request that is late anyway may wait for this part of its target latency. */
-  private static final double LATE_WAIT_PART = 0.15;
-
-  /** Requests of the highest ranks may wait this many times as long as others. */
-  private static final double URGENT_WAIT_FACTOR = 2;
-
-  /** Ranks up to this one are urgent. */
-  private static final int URGENT_PRIORITY = 1;
-
   /** An answer of a new version that takes this many times as long as usual counts as failed. */
   private static final double SLOW_VERSION_FACTOR = 2.5;
 
@@ -207,12 +187,12 @@
             objectHash,
             named,
             context.state.settings.region(),
-            homes(found),
+            RequestPolicy.homes(found, workspace),
             bytes == null ? 0 : bytes.length,
             tried,
             rule,
             found.targetLatencyMillis() * ON_TIME_PART - elapsedMillis(),
-            longestWait(found));
+            Math.min(RequestPolicy.longestWaitMillis(found, workspace), remainingMillis()));
     Outcome outcome = context.state.selector.choose(need);
     if (outcome instanceof Choice choice) {
       send(choice, bytes);
@@ -234,35 +214,10 @@
     return "no usable target. ";
   }
 
-  private Set<String> homes(SteeringRoute found) {
-    SteeringWorkspace holder = workspace;
-    if (holder == null || holder.homes().isEmpty()) {
-      return found.homes();
-    }
-    if (found.homes().isEmpty()) {
-      return holder.homes();
-    }
-    Set<String> both = new HashSet<>(found.homes());
-    both.retainAll(holder.homes());
-    return both.isEmpty() ? Set.of("") : both;
-  }
-
   private double elapsedMillis() {
     return (context.state.clock.nanoTime() - startNanos) / 1e6;
   }
 
-  /** Returns how long the request may wait for a slot even if its answer is late then. */
-  private double longestWait(SteeringRoute found) {
-    SteeringWorkspace holder = workspace;
-    boolean ranked = holder != null && holder.priority() >= 0;
-    int priority = ranked && holder != null ? holder.priority() : found.priority();
-    double most = found.targetLatencyMillis() * LATE_WAIT_PART;
-    if (priority <= URGENT_PRIORITY) {
-      most *= URGENT_WAIT_FACTOR;
-    }
-    return Math.min(most, remainingMillis());
-  }
-
   private void send(Choice choice, byte @Nullable [] bytes) {
     SteeringRoute found = found();
     long remaining = Math.max(1, remainingMillis());
@@ -281,7 +236,7 @@
             String.valueOf(caller.id()),
             found.idempotent(),
             addition,
-            tryMillis(choice, found, remaining));
+            RequestPolicy.tryMillis(choice, found, attempts, remaining));
     TargetCall call =
         new TargetCall(
             context.pool, context.wire, choice, message, this, context.state.clock.nanoTime());
@@ -294,15 +249,6 @@
     call.send();
   }
 
-  private long tryMillis(Choice choice, SteeringRoute found, long remaining) {
-    if (!found.idempotent() || attempts >= found.maxAttempts()) {
-      return remaining;
-    }
-    double patience =
-        Math.max(MIN_TRY_MILLIS, (choice.workMillis() + choice.waitMillis()) * SLOW_TRY_FACTOR);
-    return patience > remaining * 0.6 ? remaining : (long) patience;
-  }
-
   @Override
   public void ended(TargetCall call, End end) {
     Target target = call.choice.target();
@@ -487,9 +433,8 @@
   }
 
   private String retryAfter() {
-    double left = route == null ? 1_000 : Math.max(0, remainingMillis());
-    double millis = Math.min(MAX_RETRY_AFTER_MILLIS, left * RETRY_AFTER_PART);
-    return String.format(Locale.ROOT, "%.2f", millis / 1_000);
+    return RequestPolicy.retryAfterSeconds(
+        route == null ? RequestPolicy.UNKNOWN_WAIT_MILLIS : remainingMillis());
   }
 
   private void finishSilently(String reason) {
