--- a/steering/src/main/java/verbenahatch/steering/Target.java
+++ b/steering/src/main/java/verbenahatch/steering/Target.java
@@ -61,13 +61,11 @@
   private volatile double slowness = 1;
   private volatile long slownessNanos;
   private volatile @Nullable TokenBucket warmUp;
-  final long firstSeenNanos;
 
   Target(TargetRecord record, String region, long nowNanos) {
     this.record = record;
     this.region = region;
     this.idHash = Hashing.of(record.id());
-    this.firstSeenNanos = nowNanos;
     this.coldUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(record.coldMillis());
     this.ejectedUntilNanos = nowNanos;
     this.reportNanos = nowNanos;
