Keep watching a connection after a report of input that the server has read

The selector can report a connection as readable when the server has read the input since. The stand-in of a target took such a report (a read of 0 bytes) for pipelined input and closed the connection under a running request; the entry host saw several targets fail at once, avoided them, and a repeat found no place. The watch of callers ended silently at such a report, so a caller's later departure went unnoticed.

Ruled out: the order of a graceful stop (the failing answers come from hosts that do not stop), time-outs (the failed attempts had 4.98 s or more left), lost keep-alive connections.

Change: CallerWatch registers again after a read of 0 bytes; the stand-in uses CallerWatch in place of its own copy.

Conclusion: a fault of the stand-in and, in a milder form, of the product, not load.

--- a/http/src/main/java/verbenahatch/http/CallerWatch.java
+++ b/http/src/main/java/verbenahatch/http/CallerWatch.java
@@ -48,6 +48,11 @@
     if (endPoint == null) {
       return null;
     }
+    return begin(endPoint, connection, onGone);
+  }
+
+  static @Nullable CallerWatch begin(
+      EndPoint endPoint, Connection connection, Consumer<Throwable> onGone) {
     CallerWatch watch = new CallerWatch(endPoint, connection, onGone);
     return endPoint.tryFillInterested(watch) ? watch : null;
   }
@@ -86,6 +91,11 @@
     ByteBuffer buffer = BufferUtil.allocate(1);
     try {
       int filled = endPoint.fill(buffer);
+      if (filled == 0) {
+        // The selector can report input that the server has read since; the caller is still there.
+        over = !endPoint.tryFillInterested(this);
+        return null;
+      }
       if (filled < 0) {
         return new EofException("caller closed the connection");
       }
--- a/standins/src/main/java/verbenahatch/standins/target/Work.java
+++ b/standins/src/main/java/verbenahatch/standins/target/Work.java
@@ -18,6 +18,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
+import verbenahatch.http.CallerWatch;
 import verbenahatch.kernel.Json;
 
 /** Runs one request at a target. */
@@ -38,7 +39,7 @@
   private final AtomicBoolean holdsSlot = new AtomicBoolean();
   private final AtomicBoolean over = new AtomicBoolean();
   private final List<String> fields = new ArrayList<>();
-  private @Nullable ConnectionWatch watch;
+  private @Nullable CallerWatch watch;
   private long bodyBytes;
   private @Nullable FaultRule fault;
 
@@ -144,10 +145,7 @@
       }
     }
     target.log().saw(new RunLog.Head(request.getHttpURI().getPathQuery(), fields));
-    EndPoint endPoint = endPoint();
-    if (endPoint != null) {
-      watch = ConnectionWatch.begin(endPoint, this::cancelled);
-    }
+    watch = CallerWatch.begin(request, gone -> cancelled());
     long delay = workNanos();
     if (delay <= 0) {
       answer();
@@ -196,7 +194,7 @@
   }
 
   private void answer() {
-    ConnectionWatch watching = watch;
+    CallerWatch watching = watch;
     if (watching != null) {
       watching.end();
     }
