Count the quota of a workspace in a sliding window over all hosts

Each host had a bucket with its part of the rate; the burst was divided too, and a part that moved to another host began with an empty bucket. quotaWindow was read but decided nothing.

--- /dev/null
+++ b/steering/src/main/java/verbenahatch/steering/SlidingCount.java
@@ -0,0 +1,83 @@
+package verbenahatch.steering;
+
+import java.util.Arrays;
+import java.util.concurrent.TimeUnit;
+
+/**
+ * Counts events of the last span of time.
+ *
+ * <p>Thread-safe. An event counts for the whole span and up to one part of it longer, never
+ * shorter.
+ */
+final class SlidingCount {
+
+  /** Parts into which the span is divided; an event counts at most a twentieth of it too long. */
+  private static final int PARTS = 20;
+
+  private final long partNanos;
+  private final int recentParts;
+  private final int[] counts = new int[PARTS + 1];
+  private long newestPart;
+  private int sum;
+
+  /**
+   * Creates a counter without events.
+   *
+   * @param spanMillis the span in milliseconds, at least 1
+   * @param recentMillis the time for which an event is recent, rounded to whole parts of the span
+   */
+  SlidingCount(long spanMillis, long recentMillis) {
+    partNanos = Math.max(1, TimeUnit.MILLISECONDS.toNanos(spanMillis) / PARTS);
+    long parts = TimeUnit.MILLISECONDS.toNanos(recentMillis) / partNanos + 1;
+    recentParts = (int) Math.min(PARTS, parts);
+    newestPart = Long.MIN_VALUE;
+  }
+
+  /** Returns the number of events within the span. */
+  synchronized int count(long nowNanos) {
+    advance(nowNanos);
+    return sum;
+  }
+
+  /**
+   * Adds an event if the recent ones are fewer than a share of what the older ones left.
+   *
+   * @param most the events allowed within the span; 0 or less allows none
+   * @param share the part of the rest that recent events may take, from 0 to 1
+   * @param nowNanos the time
+   * @return whether the event was added
+   */
+  synchronized boolean tryAdd(double most, double share, long nowNanos) {
+    advance(nowNanos);
+    int recent = 0;
+    for (int i = 0; i < recentParts; i++) {
+      recent += counts[index(newestPart - i)];
+    }
+    if (recent + 1 > (most - (sum - recent)) * share) {
+      return false;
+    }
+    counts[index(newestPart)]++;
+    sum++;
+    return true;
+  }
+
+  private void advance(long nowNanos) {
+    long part = Math.floorDiv(nowNanos, partNanos);
+    if (newestPart == Long.MIN_VALUE || part - newestPart > PARTS) {
+      Arrays.fill(counts, 0);
+      sum = 0;
+      newestPart = part;
+      return;
+    }
+    while (newestPart < part) {
+      newestPart++;
+      int index = index(newestPart);
+      sum -= counts[index];
+      counts[index] = 0;
+    }
+  }
+
+  private static int index(long part) {
+    return Math.floorMod(part, PARTS + 1);
+  }
+}
--- /dev/null
+++ b/steering/src/test/java/verbenahatch/steering/SlidingCountTest.java
@@ -0,0 +1,72 @@
+package verbenahatch.steering;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayDeque;
+import java.util.Random;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** Guards against a window that forgets events too early and lets a rate be exceeded. */
+class SlidingCountTest {
+
+  private static final long SPAN_MILLIS = 5_000;
+
+  private static long nanos(long millis) {
+    return millis * 1_000_000;
+  }
+
+  @ParameterizedTest
+  @ValueSource(longs = {1, 2, 3})
+  void noSpanHoldsMoreThanTheMost(long seed) {
+    Random random = new Random(seed);
+    SlidingCount count = new SlidingCount(SPAN_MILLIS, 800);
+    ArrayDeque<Long> within = new ArrayDeque<>();
+    long now = random.nextLong() / 4;
+    for (int i = 0; i < 5_000; i++) {
+      now += nanos(random.nextInt(40));
+      if (count.tryAdd(30, 1, now)) {
+        within.add(now);
+      }
+      while (now - within.peekFirst() >= nanos(SPAN_MILLIS)) {
+        within.removeFirst();
+      }
+      assertTrue(within.size() <= 30, "seed " + seed);
+      assertTrue(count.count(now) >= within.size(), "seed " + seed);
+    }
+  }
+
+  @Test
+  void eventsEndAfterTheSpan() {
+    SlidingCount count = new SlidingCount(SPAN_MILLIS, 800);
+    assertTrue(count.tryAdd(1, 1, nanos(0)));
+    assertFalse(count.tryAdd(1, 1, nanos(4_999)));
+    assertTrue(count.tryAdd(1, 1, nanos(5_300)));
+    assertEquals(0, count.count(nanos(60_000)));
+  }
+
+  /** A host must not take the parts of others of what is left. */
+  @Test
+  void recentEventsTakeOnlyTheirShare() {
+    SlidingCount count = new SlidingCount(SPAN_MILLIS, 800);
+    int first = 0;
+    while (count.tryAdd(80, 0.25, nanos(0))) {
+      first++;
+    }
+    int second = 0;
+    while (count.tryAdd(80, 0.25, nanos(2_000))) {
+      second++;
+    }
+    assertEquals(20, first);
+    assertEquals(15, second);
+  }
+
+  @ParameterizedTest
+  @ValueSource(doubles = {-3, 0, 0.99})
+  void nothingIsAddedBelowOne(double most) {
+    assertFalse(new SlidingCount(SPAN_MILLIS, 800).tryAdd(most, 1, nanos(1)));
+  }
+}
