Keep an object in one region, let slow calls go on beside a repeat, and use joined targets

Changes: the region of a request follows the position of its object among the shares; a slow call goes on beside its repeat and the first whole answer wins, and no repeat is sent beside one while the host stops; a few hosts hand a joined target the next object that is its by hash.

--- a/kernel/src/main/java/verbenahatch/kernel/Hashing.java
+++ b/kernel/src/main/java/verbenahatch/kernel/Hashing.java
@@ -33,4 +33,14 @@
     mixed = (mixed ^ (mixed >>> 27)) * 0x94D049BB133111EBL;
     return mixed ^ (mixed >>> 31);
   }
+
+  /**
+   * Spreads a value evenly over the numbers from 0 to 1.
+   *
+   * @param value any value
+   * @return at least 0, less than 1; equal for equal values
+   */
+  public static double unit(long value) {
+    return (mix(value) >>> 11) * 0x1.0p-53;
+  }
 }
--- a/steering/src/main/java/verbenahatch/steering/CallerSide.java
+++ b/steering/src/main/java/verbenahatch/steering/CallerSide.java
@@ -1,7 +1,5 @@
 package verbenahatch.steering;
 
-import java.io.EOFException;
-import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
@@ -12,6 +10,7 @@
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.io.Content;
+import org.eclipse.jetty.io.QuietException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -164,12 +163,12 @@
 
   /** Ends the caller's answer as broken; to be called after {@link #finish}. */
   void breakOff(String reason) {
-    callback.failed(new IOException(reason));
+    callback.failed(new QuietException.Exception(reason));
   }
 
   /** Ends without an answer, since the caller left; to be called after {@link #finish}. */
   void abandon() {
-    callback.failed(new EOFException("the caller left"));
+    callback.failed(new QuietException.Exception("the caller left"));
   }
 
   private void addConnectionHeader() {
--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -58,6 +58,7 @@
   private volatile boolean callerGone;
   private volatile boolean mayHaveRun;
   private volatile @Nullable TargetCall current;
+  private final RunningCalls running = new RunningCalls();
   private RefusalReason lastFailure = RefusalReason.NO_CAPACITY;
   private String lastReason = "";
 
@@ -129,22 +130,14 @@
 
   private void callerLeft(Throwable cause) {
     callerGone = true;
-    TargetCall call = current;
-    // A request that may run once only goes on, so that its effect is not left half done.
-    if (call == null || !call.isSent() || found().idempotent()) {
-      if (call != null) {
-        call.abort("the caller left");
-      }
-    }
+    running.abandon(route != null && route.idempotent(), "the caller left");
   }
 
   private void expire() {
     TargetCall call = current;
     boolean sent = mayHaveRun || (call != null && call.isSent());
     refuse(sent ? RefusalReason.TIMED_OUT : RefusalReason.EXPIRED, "time is over");
-    if (call != null) {
-      call.abort("time is over");
-    }
+    running.abortOthers(null, "time is over");
   }
 
   private SteeringRoute found() {
@@ -176,6 +169,21 @@
       rule = context.state.releases.nextRule(targets.name);
       context.budget(targets.name).onRequest();
     }
+    Outcome outcome = choose(index, found, targets);
+    if (outcome instanceof Choice choice) {
+      send(choice);
+      return;
+    }
+    VersionRule other = context.state.releases.fallback(targets.name, rule);
+    if (other != rule) {
+      rule = other;
+      place();
+      return;
+    }
+    refuse(lastFailure, outcome + lastReason);
+  }
+
+  private Outcome choose(DocumentIndex index, SteeringRoute found, ServiceTargets targets) {
     String objectKey = caller.objectKey();
     boolean named = objectKey != null;
     objectHash = Hashing.of(named ? objectKey + targets.name : String.valueOf(caller.id()));
@@ -193,32 +201,14 @@
             rule,
             found.targetLatencyMillis() * ON_TIME_PART - elapsedMillis(),
             Math.min(RequestPolicy.longestWaitMillis(found, workspace), remainingMillis()));
-    Outcome outcome = context.state.selector.choose(need);
-    if (outcome instanceof Choice choice) {
-      send(choice, bytes);
-      return;
-    }
-    VersionRule other = context.state.releases.fallback(targets.name, rule);
-    if (other != rule) {
-      rule = other;
-      place();
-      return;
-    }
-    refuse(lastFailure, describe(outcome) + lastReason);
-  }
-
-  private static String describe(Outcome outcome) {
-    if (outcome instanceof Outcome.None none && none.shortestWaitMillis() < Double.MAX_VALUE) {
-      return "wait of " + Math.round(none.shortestWaitMillis()) + " ms is too long. ";
-    }
-    return "no usable target. ";
+    return context.state.selector.choose(need);
   }
 
   private double elapsedMillis() {
     return (context.state.clock.nanoTime() - startNanos) / 1e6;
   }
 
-  private void send(Choice choice, byte @Nullable [] bytes) {
+  private void send(Choice choice) {
     SteeringRoute found = found();
     long remaining = Math.max(1, remainingMillis());
     SteeringWorkspace holder = workspace;
@@ -232,31 +222,62 @@
             request.getMethod(),
             request.getHttpURI(),
             request.getHeaders(),
-            bytes,
+            body,
             String.valueOf(caller.id()),
             found.idempotent(),
             addition,
-            RequestPolicy.tryMillis(choice, found, attempts, remaining));
+            remaining);
     TargetCall call =
         new TargetCall(
             context.pool, context.wire, choice, message, this, context.state.clock.nanoTime());
     choice.target().inFlight.incrementAndGet();
+    choice.target().markUsed();
     current = call;
     if (side.isFinished()) {
       choice.target().inFlight.decrementAndGet();
       return;
     }
+    running.add(call);
     call.send();
+    long patience = RequestPolicy.patienceMillis(choice, found, attempts, remaining);
+    if (patience > 0) {
+      context.timer.schedule(() -> repeatBeside(call), patience, TimeUnit.MILLISECONDS);
+    }
+  }
+
+  /**
+   * Sends the request to a further target beside one that takes unusually long.
+   *
+   * <p>The slow call goes on: ending it would lose its work if the further target fails too.
+   */
+  private synchronized void repeatBeside(TargetCall slow) {
+    boolean over = side.isFinished() || callerGone || current != slow || !running.isOpen(slow);
+    DocumentIndex index = document;
+    if (over || index == null || context.state.isLeaving() || !mayRepeat()) {
+      return;
+    }
+    Target target = slow.choice.target();
+    target.failed(context.state.clock.nanoTime());
+    context.pool.closeIdle(target.record());
+    Outcome outcome = choose(index, found(), service());
+    if (outcome instanceof Choice choice && choice.waitMillis() <= 0) {
+      boolean paid = context.budget(service().name).tryRetry();
+      context.metrics.retries.labelValues(service().name, paid ? "beside" : "left-out").inc();
+      if (paid) {
+        send(choice);
+      }
+    }
   }
 
   @Override
-  public void ended(TargetCall call, End end) {
+  public synchronized void ended(TargetCall call, End end) {
+    running.remove(call);
     Target target = call.choice.target();
     target.inFlight.decrementAndGet();
     if (end instanceof End.Answered answered) {
       answered(call, target, answered);
     } else if (end instanceof End.NotSent notSent) {
-      notSent(target, notSent);
+      notSent(call, target, notSent);
     } else if (end instanceof End.Broken broken) {
       broken(call, target, broken);
     }
@@ -288,10 +309,14 @@
     count(failed ? "failed" : "served");
     if (failed) {
       target.failed(now);
-      if (found().idempotent() && !call.isStreaming() && mayRepeat()) {
+      boolean repeatable = found().idempotent() && !call.isStreaming() && !side.isFinished();
+      if (repeatable && (!running.isEmpty() || mayRepeat())) {
+        lastFailure = RefusalReason.TARGET_FAILED;
         lastReason = "target answered " + end.status();
         mayHaveRun = true;
-        repeat(false);
+        if (running.isEmpty()) {
+          repeat(false);
+        }
         return;
       }
     } else {
@@ -318,9 +343,10 @@
   }
 
   private void deliver(TargetCall call, End.Answered end) {
-    if (!side.finish()) {
+    if (running.isOtherStreamed(call) || !side.finish()) {
       return;
     }
+    running.abortOthers(call, "another target answered");
     boolean plain = end.status() < 400 && attempts == 1;
     report(end.status(), plain ? "served" : "passed", "", !plain);
     if (call.isStreaming()) {
@@ -330,9 +356,9 @@
     }
   }
 
-  private void notSent(Target target, End.NotSent end) {
+  private void notSent(TargetCall call, Target target, End.NotSent end) {
     count("not-sent");
-    if (!callerGone && !side.isFinished()) {
+    if (!call.isAborted()) {
       eject(target, end.reason());
     }
     failure(RefusalReason.NO_CAPACITY, end.reason(), false, true);
@@ -341,7 +367,7 @@
   private void broken(TargetCall call, Target target, End.Broken end) {
     arrivals++;
     count(end.timedOut() ? "timed-out" : "broken");
-    if (!callerGone && !side.isFinished()) {
+    if (!call.isAborted()) {
       long now = context.state.clock.nanoTime();
       context.state.releases.record(
           service().name, found().name(), target.record().version(), true);
@@ -350,7 +376,7 @@
         context.pool.closeIdle(target.record());
       }
     }
-    if (call.isStreaming()) {
+    if (running.isStreamed(call)) {
       if (side.finish()) {
         report(0, "broken-off", end.reason(), true);
         side.breakOff(end.reason());
@@ -377,6 +403,9 @@
   private void failure(RefusalReason refusal, String reason, boolean mayRun, boolean free) {
     lastFailure = refusal;
     lastReason = reason;
+    if (side.isFinished() || !running.isEmpty()) {
+      return;
+    }
     if (callerGone) {
       finishSilently(reason);
       return;
@@ -407,10 +436,11 @@
   }
 
   @Override
-  public boolean begin(TargetCall call, int status, HttpFields fields) {
-    if (side.isFinished()) {
+  public synchronized boolean begin(TargetCall call, int status, HttpFields fields) {
+    if (side.isFinished() || !running.stream(call)) {
       return false;
     }
+    running.abortOthers(call, "another target answered");
     side.begin(status, fields);
     return true;
   }
--- a/steering/src/main/java/verbenahatch/steering/RegionShares.java
+++ b/steering/src/main/java/verbenahatch/steering/RegionShares.java
@@ -57,14 +57,16 @@
    *
    * @param vote the region that would answer first
    * @param usable the regions that can take the request
+   * @param position where the request's object lies among the shares, from 0 to 1; less than 0
+   *     draws a position
    * @param lossNear whether targets were lost a short time ago
    * @param nowNanos the time
    * @return a usable region, null if none of the usable ones has a share yet
    */
   synchronized @Nullable String next(
-      String vote, Set<String> usable, boolean lossNear, long nowNanos) {
+      String vote, Set<String> usable, double position, boolean lossNear, long nowNanos) {
     follow(vote, lossNear, nowNanos);
-    return draw(usable);
+    return draw(usable, position < 0 ? draws.next() : position);
   }
 
   private void follow(String vote, boolean lossNear, long nowNanos) {
@@ -86,7 +88,7 @@
     shares.merge(vote, moved, Double::sum);
   }
 
-  private @Nullable String draw(Set<String> usable) {
+  private @Nullable String draw(Set<String> usable, double position) {
     double sum = 0;
     for (Map.Entry<String, Double> entry : shares.entrySet()) {
       if (usable.contains(entry.getKey())) {
@@ -96,7 +98,7 @@
     if (sum < 0.001) {
       return null;
     }
-    double point = draws.next() * sum;
+    double point = position * sum;
     String last = null;
     for (Map.Entry<String, Double> entry : shares.entrySet()) {
       if (!usable.contains(entry.getKey())) {
--- a/steering/src/main/java/verbenahatch/steering/RequestPolicy.java
+++ b/steering/src/main/java/verbenahatch/steering/RequestPolicy.java
@@ -22,13 +22,14 @@
   /** Pause that a refused caller is asked for, so that queues at targets shorten. */
   private static final double MAX_RETRY_AFTER_MILLIS = 250;
 
-  /** A try of an idempotent request is given up after this many times the expected time. */
-  private static final double SLOW_TRY_FACTOR = 3;
+  /** A target that takes this many times the expected time may have lost the request. */
+  private static final double SLOW_FACTOR = 3;
 
-  private static final double MIN_TRY_MILLIS = 500;
+  /** Shortest time before a further target is tried; shorter ones hit targets that only queue. */
+  private static final double MIN_PATIENCE_MILLIS = 500;
 
-  /** A try that would use more than this part of the time leaves none for another one. */
-  private static final double MAX_TRY_PART = 0.6;
+  /** After this part of the time a further target is unlikely to answer before the time is over. */
+  private static final double MAX_PATIENCE_PART = 0.6;
 
   /** A request that is late anyway may wait for this part of its target latency. */
   private static final double LATE_WAIT_PART = 0.15;
@@ -63,14 +64,15 @@
     return priority <= URGENT_PRIORITY ? most * URGENT_WAIT_FACTOR : most;
   }
 
-  /** Returns the time after which a try is given up; the last try has all the time that is left. */
-  static long tryMillis(Choice choice, SteeringRoute route, int attempt, long remainingMillis) {
+  /** Returns the time after which a further target is tried beside a slow one; -1 if none is. */
+  static long patienceMillis(
+      Choice choice, SteeringRoute route, int attempt, long remainingMillis) {
     if (!route.idempotent() || attempt >= route.maxAttempts()) {
-      return remainingMillis;
+      return -1;
     }
     double expected = choice.workMillis() + choice.waitMillis();
-    double patience = Math.max(MIN_TRY_MILLIS, expected * SLOW_TRY_FACTOR);
-    return patience > remainingMillis * MAX_TRY_PART ? remainingMillis : (long) patience;
+    double patience = Math.max(MIN_PATIENCE_MILLIS, expected * SLOW_FACTOR);
+    return patience > remainingMillis * MAX_PATIENCE_PART ? -1 : (long) patience;
   }
 
   /** Returns the seconds after which a refused caller should come back, as text. */
--- a/steering/src/main/java/verbenahatch/steering/Target.java
+++ b/steering/src/main/java/verbenahatch/steering/Target.java
@@ -52,6 +52,7 @@
   private volatile long ejectedUntilNanos;
   private volatile boolean ejected;
   private volatile boolean gone;
+  private volatile boolean used;
   private final AtomicInteger failuresInRow = new AtomicInteger();
   private volatile double othersLoad;
   private volatile long reportNanos;
@@ -99,6 +100,15 @@
     gone = true;
   }
 
+  /** Notes that this host sent the target a request. */
+  void markUsed() {
+    used = true;
+  }
+
+  boolean isUsed() {
+    return used;
+  }
+
   /** Tells whether the registry allows new requests. */
   boolean isOffered() {
     return !gone && !record.draining();
--- a/steering/src/main/java/verbenahatch/steering/TargetCall.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetCall.java
@@ -85,6 +85,7 @@
   private final ByteArrayOutputStream gathered = new ByteArrayOutputStream();
   private volatile boolean sent;
   private volatile boolean streaming;
+  private volatile boolean aborted;
   private volatile @Nullable String refusedReason;
 
   /** Describes what is sent. */
@@ -149,9 +150,15 @@
 
   /** Ends the call and closes its connection. */
   void abort(String reason) {
+    aborted = true;
     request.abort(new IOException(reason));
   }
 
+  /** Tells whether this host ended the call, so that it says nothing of the target. */
+  boolean isAborted() {
+    return aborted;
+  }
+
   private void inspect(Response response) {
     TargetAnswer answer = wire.readAnswer(response.getHeaders());
     String answered = answer.requestId();
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -41,6 +41,9 @@
   /** Price of a millisecond of a slot's time when all slots of a region are used. */
   private static final double FULL_PRICE = 2;
 
+  /** Keeps an object's position among regions apart from its place among targets. */
+  private static final long REGION_SALT = 0x5bd1e995L;
+
   /** Targets queue about three requests per slot before they reject. */
   private static final double MAX_LOAD_PER_SLOT = 3.5;
 
@@ -83,7 +86,15 @@
      *
      * @param shortestWaitMillis the wait at the best target; the largest number if none is usable
      */
-    record None(double shortestWaitMillis) implements Outcome {}
+    record None(double shortestWaitMillis) implements Outcome {
+      @Override
+      public String toString() {
+        if (shortestWaitMillis == Double.MAX_VALUE) {
+          return "no usable target. ";
+        }
+        return "wait of " + Math.round(shortestWaitMillis) + " ms is too long. ";
+      }
+    }
   }
 
   /**
@@ -249,7 +260,9 @@
       regions.start(initialShares(byRegion.keySet(), need), now);
     }
     boolean lossNear = need.service.isLossNear(now);
-    String region = regions.next(best.target.region, byRegion.keySet(), lossNear, now);
+    // Requests for one object stay together, so that it is not loaded once in each region.
+    double position = need.named ? Hashing.unit(need.objectHash ^ REGION_SALT) : -1;
+    String region = regions.next(best.target.region, byRegion.keySet(), position, lossNear, now);
     Choice drawn = region == null ? null : byRegion.get(region);
     return drawn == null ? best : drawn;
   }
@@ -285,6 +298,18 @@
     return all / HostTable.warmUpOwners();
   }
 
+  /**
+   * Tells whether this host should send a target its first request.
+   *
+   * <p>Objects stay where they are warm, so a target that joined later would get none of those in
+   * use. A few hosts hand it the next object that is its by hash.
+   */
+  private boolean isDueFirstRequest(Target target, long now) {
+    return !target.isUsed()
+        && !target.isCold(now)
+        && hosts.isWarmUpOwner(target.idHash, target.region);
+  }
+
   private @Nullable Choice estimate(
       Target target, ObjectHeat heat, Need need, double slotPrice, long now) {
     int slots = Math.max(1, target.record().slots());
@@ -304,9 +329,13 @@
     double used = Math.min(1, load / slots);
     double crowding = CROWDING_WEIGHT * service.warmMillis() * Math.pow(used, 4);
     double expected = work + wait + crowding + FAILURE_MILLIS * target.failureShare(now);
+    if (heat == ObjectHeat.LIKELY_WARM && wait == 0 && isDueFirstRequest(target, now)) {
+      expected = 0;
+    }
     if (!target.region.equals(need.region)) {
       expected += REMOTE_REGION_MILLIS + need.bodyBytes / 1024.0 * REMOTE_KILOBYTE_MILLIS;
     }
-    return new Choice(target, heat, expected + slotPrice * work, wait, work);
+    double price = expected == 0 ? 0 : slotPrice * work;
+    return new Choice(target, heat, expected + price, wait, work);
   }
 }
--- a/steering/src/test/java/verbenahatch/steering/RegionSharesTest.java
+++ b/steering/src/test/java/verbenahatch/steering/RegionSharesTest.java
@@ -20,7 +20,7 @@
     RegionShares shares = new RegionShares(MAX_SHIFT);
     shares.start(Map.of("a", 1.0), 0);
     for (int i = 0; i < 5 * perSecond; i++) {
-      shares.next("a", BOTH, false, i * SECOND / perSecond);
+      shares.next("a", BOTH, -1, false, i * SECOND / perSecond);
     }
     return shares;
   }
@@ -31,7 +31,7 @@
     RegionShares shares = settled(perSecond);
     double before = shares.share("b");
     for (int i = 0; i < 2 * perSecond; i++) {
-      shares.next("b", BOTH, false, 5 * SECOND + i * SECOND / perSecond);
+      shares.next("b", BOTH, -1, false, 5 * SECOND + i * SECOND / perSecond);
     }
     assertTrue(shares.share("b") - before <= MAX_SHIFT);
     assertEquals(1.0, shares.share("a") + shares.share("b"), 1e-9);
@@ -43,7 +43,7 @@
     RegionShares shares = new RegionShares(MAX_SHIFT);
     shares.start(Map.of("a", 1.0), 0);
     for (int i = 0; i < 100; i++) {
-      shares.next("b", BOTH, false, i * SECOND / 50);
+      shares.next("b", BOTH, -1, false, i * SECOND / 50);
     }
     assertTrue(shares.share("b") <= MAX_SHIFT);
   }
@@ -52,7 +52,7 @@
   @Test
   void drawsOnlyUsableRegions() {
     RegionShares shares = settled(50);
-    String drawn = shares.next("b", Set.of("b"), true, 6 * SECOND);
+    String drawn = shares.next("b", Set.of("b"), -1, true, 6 * SECOND);
     assertTrue(drawn == null || drawn.equals("b"));
   }
 
@@ -63,9 +63,24 @@
     RegionShares lost = settled(50);
     for (int i = 0; i < 50; i++) {
       long now = 5 * SECOND + i * SECOND / 50;
-      calm.next("b", BOTH, false, now);
-      lost.next("b", BOTH, true, now);
+      calm.next("b", BOTH, -1, false, now);
+      lost.next("b", BOTH, -1, true, now);
     }
     assertTrue(lost.share("b") > 2 * calm.share("b"));
   }
+
+  /** An object that changed its region with each request was loaded once in each of them. */
+  @Test
+  void requestsForOneObjectStayTogether() {
+    RegionShares shares = new RegionShares(0.15);
+    shares.start(Map.of("a", 0.7, "b", 0.3), 0);
+    int inA = 0;
+    for (int object = 0; object < 1_000; object++) {
+      double position = object / 1_000.0;
+      String first = shares.next("a", BOTH, position, false, 0);
+      assertEquals(first, shares.next("b", BOTH, position, false, 0));
+      inA += "a".equals(first) ? 1 : 0;
+    }
+    assertEquals(700, inA, 1);
+  }
 }
--- a/steering/src/test/java/verbenahatch/steering/TargetSelectorTest.java
+++ b/steering/src/test/java/verbenahatch/steering/TargetSelectorTest.java
@@ -109,6 +109,26 @@
     assertEquals(4, tried.size());
   }
 
+  /** Targets that joined got no request, since all objects were warm elsewhere (casa-abierta). */
+  @Test
+  void joinedTargetGetsTheNextObjectThatIsItsByHash() {
+    World world = world("h1", 12);
+    for (int i = 0; i < 100; i++) {
+      Target target = choose(world, "o" + i).target();
+      target.markUsed();
+      target.recent.handled(Hashing.of("o" + i));
+    }
+    TargetRecord joined = Samples.target("joined", "a1", "v1");
+    world.table.change(List.of(joined), List.of());
+    int sent = 0;
+    for (int i = 0; i < 100; i++) {
+      Target target = choose(world, "o" + i).target();
+      target.markUsed();
+      sent += target.record().equals(joined) ? 1 : 0;
+    }
+    assertEquals(1, sent);
+  }
+
   /** A cold target crashes above its rate; the owners' parts must stay below it. */
   @Test
   void coldTargetGetsItsRateOnly() {
