Send beats inside a region more often than between regions in large fleets

Cause: a host sent at most 48 datagrams a second to all others alike, so at 89 hosts a beat came every 1.8 s and a dead host was heard for 7.4 s; the terms allow the directory 6 to 7 s. At 541 hosts it would be 45 s.

Change: FleetShape decides. Up to 19 hosts nothing changes. In a larger fleet a host sends to its region and to two hubs at up to 48 a second (0.65 s between beats at 89 hosts, 3.8 s at 541) and to the others in turn at 12 a second. The directory names only hosts heard within 3.5 s, in a region far away those whose turn came. The quota takes what was admitted as known after a far period, so its parts are fixed by demand where beats are slow.

Ruled out: 160 datagrams a second to all (bytes between zones, which are priced).

--- a/steering/src/main/java/verbenahatch/steering/Directory.java
+++ b/steering/src/main/java/verbenahatch/steering/Directory.java
@@ -25,6 +25,12 @@
   /** Answers are used for this time; a host that dies is named in no cached answer after it. */
   private static final long TIME_TO_LIVE_MILLIS = 2_000;
 
+  /**
+   * A host whose last beat is older is not named: the terms allow 6 s after its end, of which
+   * cached answers take two.
+   */
+  private static final long HEARD_MILLIS = 3_500;
+
   private final SteeringState state;
   private final WireProtocol wire;
 
@@ -58,7 +64,7 @@
     if (state.isReady()) {
       (state.settings.region().equals(region) ? near : far).add(state.settings.callers());
     }
-    for (HostBeat beat : state.hosts.live()) {
+    for (HostBeat beat : state.hosts.heardWithin(HEARD_MILLIS)) {
       if (beat.getReady() && !beat.getLeaving()) {
         (beat.getRegion().equals(region) ? near : far).add(beat.getCallersAddress());
       }
--- a/steering/src/main/java/verbenahatch/steering/HostTable.java
+++ b/steering/src/main/java/verbenahatch/steering/HostTable.java
@@ -1,6 +1,7 @@
 package verbenahatch.steering;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
@@ -23,12 +24,6 @@
  */
 final class HostTable {
 
-  /** Time between beats in a small fleet, in milliseconds. */
-  static final long MIN_BEAT_MILLIS = 400;
-
-  /** Datagrams per second that a host sends at most; bounds the cost in a large fleet. */
-  static final int MAX_BEATS_PER_SECOND = 48;
-
   /** A host is no longer heard after this many periods without a beat. */
   private static final int MISSED_BEATS = 4;
 
@@ -46,6 +41,7 @@
   private final String incarnation;
   private final Map<String, Heard> heard = new ConcurrentHashMap<>();
   private volatile Map<String, HostRecord> registered = Map.of();
+  private volatile FleetShape shape = new FleetShape(Map.of(), Set.of());
   private final Set<String> reportedLive = new HashSet<>();
 
   HostTable(Clock clock, Events events, SteeringSettings settings, String incarnation) {
@@ -57,6 +53,34 @@
 
   void register(Map<String, HostRecord> records) {
     registered = Map.copyOf(records);
+    refreshShape();
+  }
+
+  /** Takes the known hosts into account for the pace of beats. */
+  void refreshShape() {
+    Map<String, String> regions = new HashMap<>();
+    Set<String> silent = new HashSet<>();
+    registered.forEach((name, record) -> regions.put(name, record.region()));
+    long now = clock.nanoTime();
+    heard.forEach(
+        (name, entry) -> {
+          if (!isForgotten(entry)) {
+            regions.put(name, entry.beat.getRegion());
+          }
+          if (!isHeard(entry, now)) {
+            silent.add(name);
+          }
+        });
+    regions.put(settings.host(), settings.region());
+    shape = new FleetShape(regions, silent);
+  }
+
+  private boolean isHeard(Heard entry, long now) {
+    String from = entry.beat.getRegion();
+    FleetShape fleet = shape;
+    boolean near = fleet.isNear(from, settings.host(), settings.region());
+    long period = near ? fleet.nearMillis(from) : fleet.farMillis(from);
+    return now - entry.atNanos <= TimeUnit.MILLISECONDS.toNanos(MISSED_BEATS * period);
   }
 
   String incarnation() {
@@ -78,23 +102,46 @@
         });
   }
 
+  /** Returns the time between two beats of this host, in milliseconds. */
   long beatMillis() {
-    return Math.max(MIN_BEAT_MILLIS, count() * 1_000L / MAX_BEATS_PER_SECOND);
+    return shape.nearMillis(settings.region());
+  }
+
+  /** Returns the time after which every host that lives has heard of a change at this one. */
+  long knownAfterMillis() {
+    return shape.farMillis(settings.region()) + beatMillis();
   }
 
   /** Returns the beats of the hosts that live, this one excluded. */
   List<HostBeat> live() {
-    long limit = TimeUnit.MILLISECONDS.toNanos(MISSED_BEATS * beatMillis());
     long now = clock.nanoTime();
     List<HostBeat> live = new ArrayList<>();
     for (Heard entry : heard.values()) {
-      if (now - entry.atNanos <= limit) {
+      if (isHeard(entry, now)) {
         live.add(entry.beat);
       }
     }
     return live;
   }
 
+  /**
+   * Returns the beats that arrived a short time ago.
+   *
+   * @param millis the longest age in milliseconds
+   * @return beats of hosts that live; far hosts of a large fleet are heard in turn only
+   */
+  List<HostBeat> heardWithin(long millis) {
+    long now = clock.nanoTime();
+    long limit = TimeUnit.MILLISECONDS.toNanos(millis);
+    List<HostBeat> recent = new ArrayList<>();
+    for (Heard entry : heard.values()) {
+      if (now - entry.atNanos <= limit && isHeard(entry, now)) {
+        recent.add(entry.beat);
+      }
+    }
+    return recent;
+  }
+
   /** Counts the hosts among which totals are divided: registered or heard, and this one. */
   int count() {
     Set<String> names = new HashSet<>(registered.keySet());
@@ -108,17 +155,39 @@
   }
 
   private boolean isForgotten(Heard entry) {
-    long age = clock.nanoTime() - entry.atNanos;
-    return age > TimeUnit.MILLISECONDS.toNanos(FORGET_MILLIS);
+    long millis = Math.max(FORGET_MILLIS, 2 * shape.farMillis(entry.beat.getRegion()));
+    return clock.nanoTime() - entry.atNanos > TimeUnit.MILLISECONDS.toNanos(millis);
+  }
+
+  /** Returns the addresses to which each beat goes, by host name. */
+  Map<String, String> nearAddresses() {
+    return addresses(true);
   }
 
-  /** Returns the addresses to which beats go, by host name. */
-  Map<String, String> peerAddresses() {
+  /** Returns the addresses to which beats go in turn, by host name. */
+  Map<String, String> farAddresses() {
+    return addresses(false);
+  }
+
+  /** Returns how many far hosts a beat goes to. */
+  int farPerBeat() {
+    return shape.farPerBeat(settings.region());
+  }
+
+  private Map<String, String> addresses(boolean near) {
     Map<String, String> addresses = new TreeMap<>();
-    registered.forEach((name, record) -> addresses.put(name, record.peerAddress()));
+    FleetShape fleet = shape;
+    String region = settings.region();
+    registered.forEach(
+        (name, record) -> {
+          if (fleet.isNear(region, name, record.region()) == near) {
+            addresses.put(name, record.peerAddress());
+          }
+        });
     heard.forEach(
         (name, entry) -> {
-          if (!isForgotten(entry)) {
+          boolean wanted = fleet.isNear(region, name, entry.beat.getRegion()) == near;
+          if (wanted && !isForgotten(entry)) {
             addresses.put(name, entry.beat.getPeerAddress());
           }
         });
--- a/steering/src/main/java/verbenahatch/steering/PeerLink.java
+++ b/steering/src/main/java/verbenahatch/steering/PeerLink.java
@@ -16,7 +16,6 @@
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
 import java.net.InetSocketAddress;
-import java.util.Collection;
 import java.util.List;
 import java.util.Set;
 import java.util.TreeSet;
@@ -41,6 +40,7 @@
   private final Channel channel;
   private volatile List<String> seeds;
   private long sequence;
+  private int nextFar;
 
   PeerLink(SteeringState state, SteeringSettings settings) throws InterruptedException {
     this.state = state;
@@ -70,9 +70,14 @@
 
   private void send() {
     byte[] bytes = state.beat(++sequence).toByteArray();
-    Collection<String> known = state.hosts.peerAddresses().values();
-    Set<String> addresses = new TreeSet<>(known);
-    if (known.isEmpty()) {
+    state.hosts.refreshShape();
+    Set<String> addresses = new TreeSet<>(state.hosts.nearAddresses().values());
+    List<String> far = List.copyOf(state.hosts.farAddresses().values());
+    int most = Math.min(far.size(), state.hosts.farPerBeat());
+    for (int i = 0; i < most; i++) {
+      addresses.add(far.get(Math.floorMod(nextFar++, far.size())));
+    }
+    if (addresses.isEmpty()) {
       for (String seed : seeds) {
         addresses.add(seed.substring(0, seed.lastIndexOf(':') + 1) + settings.peerPort());
       }
--- a/steering/src/main/java/verbenahatch/steering/QuotaTable.java
+++ b/steering/src/main/java/verbenahatch/steering/QuotaTable.java
@@ -27,12 +27,6 @@
   /** Time over which demand is averaged; requests of a small workspace come seconds apart. */
   private static final double DEMAND_SECONDS = 1.3;
 
-  /**
-   * Time until every host knows what the others admitted, in milliseconds: the time between beats,
-   * the way between regions and the period of the division.
-   */
-  private static final long KNOWN_AFTER_MILLIS = 800;
-
   /** Time for which a process may admit requests at once when it starts, in milliseconds. */
   private static final long FIRST_MILLIS = 250;
 
@@ -51,17 +45,18 @@
    * @param left the requests that this host and those that it hears may admit in one window, less
    *     those that the others admitted
    * @param share this host's part of what is left
+   * @param recentMillis the time until other hosts know of an admission
    */
-  private record Division(double left, double share) {}
+  private record Division(double left, double share, long recentMillis) {}
 
   private static final class Account {
     final SlidingCount admitted;
     final LongAdder asked = new LongAdder();
     volatile double demand;
-    volatile Division division = new Division(0, 0);
+    volatile Division division = new Division(0, 0, 0);
 
     Account(long windowMillis) {
-      admitted = new SlidingCount(windowMillis, KNOWN_AFTER_MILLIS);
+      admitted = new SlidingCount(windowMillis);
     }
   }
 
@@ -96,7 +91,8 @@
     account.asked.increment();
     Division division = account.division;
     long now = clock.nanoTime();
-    return account.admitted.tryAdd(division.left, division.share * filled(now), now);
+    double share = division.share * filled(now);
+    return account.admitted.tryAdd(division.left, share, division.recentMillis, now);
   }
 
   /**
@@ -134,7 +130,7 @@
       double share = share(workspace.ratePerSecond(), count, live.size(), account.demand, others);
       double most = mostPerWindow(workspace);
       double left = most * heardPart - admittedByOthers.getOrDefault(workspace.name(), 0);
-      account.division = new Division(left, share / heardPart);
+      account.division = new Division(left, share / heardPart, hosts.knownAfterMillis());
     }
   }
 
--- a/steering/src/main/java/verbenahatch/steering/SlidingCount.java
+++ b/steering/src/main/java/verbenahatch/steering/SlidingCount.java
@@ -15,7 +15,6 @@
   private static final int PARTS = 20;
 
   private final long partNanos;
-  private final int recentParts;
   private final int[] counts = new int[PARTS + 1];
   private long newestPart;
   private int sum;
@@ -24,12 +23,9 @@
    * Creates a counter without events.
    *
    * @param spanMillis the span in milliseconds, at least 1
-   * @param recentMillis the time for which an event is recent, rounded to whole parts of the span
    */
-  SlidingCount(long spanMillis, long recentMillis) {
+  SlidingCount(long spanMillis) {
     partNanos = Math.max(1, TimeUnit.MILLISECONDS.toNanos(spanMillis) / PARTS);
-    long parts = TimeUnit.MILLISECONDS.toNanos(recentMillis) / partNanos + 1;
-    recentParts = (int) Math.min(PARTS, parts);
     newestPart = Long.MIN_VALUE;
   }
 
@@ -44,13 +40,15 @@
    *
    * @param most the events allowed within the span; 0 or less allows none
    * @param share the part of the rest that recent events may take, from 0 to 1
+   * @param recentMillis the time for which an event is recent, rounded up to parts of the span
    * @param nowNanos the time
    * @return whether the event was added
    */
-  synchronized boolean tryAdd(double most, double share, long nowNanos) {
+  synchronized boolean tryAdd(double most, double share, long recentMillis, long nowNanos) {
     advance(nowNanos);
+    long parts = TimeUnit.MILLISECONDS.toNanos(recentMillis) / partNanos + 1;
     int recent = 0;
-    for (int i = 0; i < recentParts; i++) {
+    for (int i = 0; i <= Math.min(PARTS, parts - 1); i++) {
       recent += counts[index(newestPart - i)];
     }
     if (recent + 1 > (most - (sum - recent)) * share) {
--- a/steering/src/test/java/verbenahatch/steering/QuotaTableTest.java
+++ b/steering/src/test/java/verbenahatch/steering/QuotaTableTest.java
@@ -118,7 +118,7 @@
       if ((nowMillis + host * 50L) % 250 == 0) {
         quotas[host].divide(document);
       }
-      if ((nowMillis + host * 50L) % HostTable.MIN_BEAT_MILLIS == 0) {
+      if ((nowMillis + host * 50L) % FleetShape.MIN_BEAT_MILLIS == 0) {
         HostBeat.Builder beat =
             HostBeat.newBuilder()
                 .setHost("h" + host)
--- a/steering/src/test/java/verbenahatch/steering/SlidingCountTest.java
+++ b/steering/src/test/java/verbenahatch/steering/SlidingCountTest.java
@@ -23,12 +23,12 @@
   @ValueSource(longs = {1, 2, 3})
   void noSpanHoldsMoreThanTheMost(long seed) {
     Random random = new Random(seed);
-    SlidingCount count = new SlidingCount(SPAN_MILLIS, 800);
+    SlidingCount count = new SlidingCount(SPAN_MILLIS);
     ArrayDeque<Long> within = new ArrayDeque<>();
     long now = random.nextLong() / 4;
     for (int i = 0; i < 5_000; i++) {
       now += nanos(random.nextInt(40));
-      if (count.tryAdd(30, 1, now)) {
+      if (count.tryAdd(30, 1, 800, now)) {
         within.add(now);
       }
       while (now - within.peekFirst() >= nanos(SPAN_MILLIS)) {
@@ -41,23 +41,23 @@
 
   @Test
   void eventsEndAfterTheSpan() {
-    SlidingCount count = new SlidingCount(SPAN_MILLIS, 800);
-    assertTrue(count.tryAdd(1, 1, nanos(0)));
-    assertFalse(count.tryAdd(1, 1, nanos(4_999)));
-    assertTrue(count.tryAdd(1, 1, nanos(5_300)));
+    SlidingCount count = new SlidingCount(SPAN_MILLIS);
+    assertTrue(count.tryAdd(1, 1, 800, nanos(0)));
+    assertFalse(count.tryAdd(1, 1, 800, nanos(4_999)));
+    assertTrue(count.tryAdd(1, 1, 800, nanos(5_300)));
     assertEquals(0, count.count(nanos(60_000)));
   }
 
   /** A host must not take the parts of others of what is left. */
   @Test
   void recentEventsTakeOnlyTheirShare() {
-    SlidingCount count = new SlidingCount(SPAN_MILLIS, 800);
+    SlidingCount count = new SlidingCount(SPAN_MILLIS);
     int first = 0;
-    while (count.tryAdd(80, 0.25, nanos(0))) {
+    while (count.tryAdd(80, 0.25, 800, nanos(0))) {
       first++;
     }
     int second = 0;
-    while (count.tryAdd(80, 0.25, nanos(2_000))) {
+    while (count.tryAdd(80, 0.25, 800, nanos(2_000))) {
       second++;
     }
     assertEquals(20, first);
@@ -67,6 +67,6 @@
   @ParameterizedTest
   @ValueSource(doubles = {-3, 0, 0.99})
   void nothingIsAddedBelowOne(double most) {
-    assertFalse(new SlidingCount(SPAN_MILLIS, 800).tryAdd(most, 1, nanos(1)));
+    assertFalse(new SlidingCount(SPAN_MILLIS).tryAdd(most, 1, 800, nanos(1)));
   }
 }
