--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -33,9 +33,6 @@
   /** An answer below this part of the remaining time is not worth a repeat. */
   private static final long MIN_REPEAT_MILLIS = 100;
 
-  /** A request waits for a slot only if it is then still answered in this part of its target. */
-  private static final double ON_TIME_PART = 1.0;
-
   /** An answer of a new version that takes this many times as long as usual counts as failed. */
   private static final double SLOW_VERSION_FACTOR = 2.5;
 
@@ -199,7 +196,7 @@
             bytes == null ? 0 : bytes.length,
             tried,
             rule,
-            found.targetLatencyMillis() * ON_TIME_PART - elapsedMillis(),
+            found.targetLatencyMillis() - elapsedMillis(),
             Math.min(RequestPolicy.longestWaitMillis(found, workspace), remainingMillis()));
     return context.state.selector.choose(need);
   }
@@ -384,7 +381,9 @@
       return;
     }
     mayHaveRun = true;
-    failure(RefusalReason.TARGET_FAILED, end.reason(), true, false);
+    boolean over = end.timedOut() && remainingMillis() <= 0;
+    RefusalReason refusal = over ? RefusalReason.TIMED_OUT : RefusalReason.TARGET_FAILED;
+    failure(refusal, end.reason(), true, false);
   }
 
   private void eject(Target target, String reason) {
--- a/steering/src/main/java/verbenahatch/steering/FleetShape.java
+++ b/steering/src/main/java/verbenahatch/steering/FleetShape.java
@@ -47,6 +47,10 @@
     }
   }
 
+  int count() {
+    return count;
+  }
+
   private boolean isSmall() {
     return count * 1_000L <= MIN_BEAT_MILLIS * NEAR_PER_SECOND;
   }
--- a/steering/src/main/java/verbenahatch/steering/HostTable.java
+++ b/steering/src/main/java/verbenahatch/steering/HostTable.java
@@ -154,6 +154,11 @@
     return names.size();
   }
 
+  /** Returns the number of known hosts as of the last beat, this one included; at least 1. */
+  int fleetSize() {
+    return Math.max(1, shape.count());
+  }
+
   private boolean isForgotten(Heard entry) {
     long millis = Math.max(FORGET_MILLIS, 2 * shape.farMillis(entry.beat.getRegion()));
     return clock.nanoTime() - entry.atNanos > TimeUnit.MILLISECONDS.toNanos(millis);
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -124,8 +124,9 @@
   Outcome choose(Need need) {
     long now = clock.nanoTime();
     List<Target> usable = new ArrayList<>();
+    int connections = connectionsPerHost(need);
     for (Target target : need.service.targets) {
-      if (isUsable(target, need, now)) {
+      if (target.inFlight.get() < connections && isUsable(target, need, now)) {
         usable.add(target);
       }
     }
@@ -310,6 +311,14 @@
         && hosts.isWarmUpOwner(target.idHash, target.region);
   }
 
+  /** Returns this host's part of the connections that a target takes; at least one. */
+  private int connectionsPerHost(Need need) {
+    if (need.definition == null || need.definition.maxConnections() <= 0) {
+      return Integer.MAX_VALUE;
+    }
+    return Math.max(1, need.definition.maxConnections() / hosts.fleetSize());
+  }
+
   private @Nullable Choice estimate(
       Target target, ObjectHeat heat, Need need, double slotPrice, long now) {
     int slots = Math.max(1, target.record().slots());
--- a/steering/src/test/java/verbenahatch/steering/TargetSelectorTest.java
+++ b/steering/src/test/java/verbenahatch/steering/TargetSelectorTest.java
@@ -22,6 +22,7 @@
 import verbenahatch.steering.TargetSelector.Choice;
 import verbenahatch.steering.TargetSelector.Need;
 import verbenahatch.steering.TargetSelector.Outcome;
+import verbenahatch.steering.model.SteeringDocument.SteeringService;
 import verbenahatch.steering.model.TargetRecord;
 
 /** Guards against choices that the registry, the document or coldness forbid. */
@@ -129,6 +130,35 @@
     assertEquals(1, sent);
   }
 
+  /** A target closes connections beyond its most; each host may use its part only. */
+  @Test
+  void hostKeepsToItsPartOfTheConnectionsOfATarget() {
+    World world = world("h1", 1);
+    SteeringService few = new SteeringService("catalogue", 4, 3_000, 3);
+    Need usual = need(world, "o", Set.of(), Set.of());
+    Need need =
+        new Need(
+            usual.service(),
+            few,
+            usual.objectHash(),
+            true,
+            "a",
+            Set.of(),
+            0,
+            Set.of(),
+            VersionRule.ANY,
+            60_000,
+            60_000);
+    Map<String, verbenahatch.steering.model.HostRecord> two =
+        Map.of("h1", Samples.host("h1", "a"), "h2", Samples.host("h2", "a"));
+    world.hosts.register(two);
+    Target target = assertInstanceOf(Choice.class, world.selector.choose(need)).target();
+    target.inFlight.set(2);
+    assertInstanceOf(Outcome.None.class, world.selector.choose(need));
+    target.inFlight.set(1);
+    assertInstanceOf(Choice.class, world.selector.choose(need));
+  }
+
   /** A cold target crashes above its rate; the owners' parts must stay below it. */
   @Test
   void coldTargetGetsItsRateOnly() {
