--- a/ctl/src/main/java/verbenahatch/ctl/CtlMain.java
+++ b/ctl/src/main/java/verbenahatch/ctl/CtlMain.java
@@ -42,7 +42,8 @@
       EnvironmentCommand.class,
       KeyCommand.class,
       DrainCommand.class,
-      ReleaseCommand.class
+      ReleaseCommand.class,
+      ExplainCommand.class
     })
 public final class CtlMain implements Runnable {
 
--- a/ctl/src/test/java/verbenahatch/ctl/CtlMainTest.java
+++ b/ctl/src/test/java/verbenahatch/ctl/CtlMainTest.java
@@ -259,4 +259,21 @@
     assertTrue(run.err().contains("unavailable"), run.err());
     assertTrue(run.err().contains("nothing was changed"), run.err());
   }
+
+  /** Guards against an account that a wrong path or an unknown id turns into a success. */
+  @Test
+  void explainReadsLogsAndSaysWhatIsMissing() throws Exception {
+    Path log = directory.resolve("h1.log");
+    String line =
+        "2026-04-18T06:25:41.803Z INFO VH-1114 request id=q1 route=r workspace=w outcome=BAD_KEY"
+            + " status=401 attempts=0 target=- elapsed_ms=0 remaining_ms=9 document=1 reason=no key";
+    Files.writeString(log, line + System.lineSeparator());
+    Run found = run(Map.of(), List.of("explain", "q1", "--log", log.toString()));
+    assertEquals(0, found.code(), found.err());
+    assertTrue(found.out().contains("host h1: no workspace of the document"), found.out());
+    assertEquals(1, run(Map.of(), List.of("explain", "q2", "--log", log.toString())).code());
+    Run absent = run(Map.of(), List.of("explain", "q1", "--log", "no-such-file"));
+    assertEquals(2, absent.code());
+    assertTrue(absent.err().contains("cannot read no-such-file"), absent.err());
+  }
 }
--- /dev/null
+++ b/ctl/src/test/java/verbenahatch/ctl/explain/ExplanationTest.java
@@ -0,0 +1,110 @@
+package verbenahatch.ctl.explain;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/** Guards against accounts that name a wrong cause or keep silent about missing lines. */
+class ExplanationTest {
+
+  private static final List<String> LOG =
+      List.of(
+          "2026-04-18T06:25:30.000Z INFO VH-1101 start host=h1 incarnation=i zone=z region=r",
+          "2026-04-18T06:25:31.000Z INFO VH-1107 document version=10 from=store routes=3 workspaces=2",
+          "not a line of the catalogue",
+          "2026-04-18T06:25:38.000Z WARN VH-1106 feed-lost kind=targets reason=no answer in 900 ms",
+          "2026-04-18T06:25:39.000Z INFO VH-1109 target id=t1 service=s change=draining version=v1 cold_ms=0",
+          "2026-04-18T06:25:39.500Z INFO VH-1112 peer host=h2 incarnation=j heard=false age_ms=1700",
+          "2026-04-18T06:25:41.000Z INFO VH-1114 request id=q1 route=r1 workspace=w outcome=NO_CAPACITY"
+              + " status=503 attempts=1 target=t1 elapsed_ms=12 remaining_ms=1188 document=10"
+              + " reason=wait of 900 ms is too long. no=thing",
+          "2026-04-18T06:25:42.000Z INFO VH-1115 requests-not-logged count=7");
+
+  private static Explanation explanation(String id, List<String> lines) {
+    Explanation explanation = new Explanation(id);
+    explanation.read("h1", lines);
+    return explanation;
+  }
+
+  @ParameterizedTest
+  @CsvSource(
+      delimiter = ';',
+      value = {
+        "no target could answer in time.",
+        "status 503, wait of 900 ms is too long.",
+        "document 10 from store (since 10.0 s)",
+        "the store did not tell of targets (since 3.0 s): no answer in 900 ms",
+        "host h2 was not heard (since 1.5 s)",
+        "target t1 was draining (since 2.0 s)",
+        "Host h1 left out 7 lines"
+      })
+  void accountHoldsWhatTheHostBelieved(String part) {
+    String text = String.join("\n", explanation("q1", LOG).describe());
+    assertTrue(text.contains(part), text);
+  }
+
+  @Test
+  void beliefsEndWithWhatEndsThem() {
+    List<String> lines =
+        List.of(
+            LOG.get(0),
+            LOG.get(1),
+            LOG.get(3),
+            "2026-04-18T06:25:40.000Z INFO VH-1105 feed-regained kind=targets lost_ms=2000",
+            LOG.get(6));
+    String text = String.join("\n", explanation("q1", lines).describe());
+    assertFalse(text.contains("did not tell"), text);
+  }
+
+  @ParameterizedTest
+  @CsvSource({"q2, No line is about request q2", "'', No line is about request"})
+  void missingLineIsSaid(String id, String expected) {
+    Explanation explanation = explanation(id, LOG);
+    assertFalse(explanation.isFound());
+    assertTrue(explanation.describe().get(0).startsWith(expected));
+  }
+
+  @Test
+  void fileOfAnotherKindIsSaid() {
+    assertEquals(
+        List.of("The files hold no numbered line of a host."),
+        explanation("q1", List.of("", "text")).describe());
+  }
+
+  /** Two hosts had the request; a collector wrote their names before the lines. */
+  @Test
+  void linesOfSeveralHostsComeInOrderOfTime() {
+    String tail = " workspace=w outcome=STOPPING status=503 attempts=0 target=- elapsed_ms=0";
+    Explanation explanation =
+        explanation(
+            "q1",
+            List.of(
+                "  7.2 h2 2026-04-18T06:25:41.900Z INFO VH-1114 request id=q1 route=r1" + tail,
+                "  7.1 h1 2026-04-18T06:25:41.800Z INFO VH-1114 request id=q1 route=r1" + tail));
+    List<String> heads =
+        explanation.describe().stream().filter(line -> line.startsWith("2026")).toList();
+    assertTrue(heads.get(0).contains("host h1: the host was ending."), heads.toString());
+    assertTrue(heads.get(1).contains("host h2:"), heads.toString());
+  }
+
+  /** Each refusal of the catalogue has an explanation. */
+  @Test
+  void everyRefusalIsKnown() throws Exception {
+    int known = 0;
+    for (String line : Files.readAllLines(Path.of("..", "docs", "refusals-platform.md"))) {
+      if (line.matches("\\| [A-Z_]+ \\| \\d+ \\|.*")) {
+        String name = line.substring(2, line.indexOf(' ', 2));
+        assertFalse(Explanation.cause(name).contains("not known"), name);
+        known++;
+      }
+    }
+    assertTrue(known > 10, known + " refusals");
+  }
+}
