Drop targets that left while this host alone was cut off as soon as the store answers

Change: RegistryOutage. If other hosts' beats show newer revisions of the registry while this host is cut off, the return began then, so what is missing in the first list is gone. If nobody saw anything newer, the store was down for all and lapsed entries keep their 2 s.

--- a/steering/src/main/java/verbenahatch/steering/SteeringState.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringState.java
@@ -40,6 +40,7 @@
   final HostTable hosts;
   final TargetTable targets;
   final QuotaTable quotas;
+  private final RegistryOutage outage = new RegistryOutage();
   final ReleaseTable releases;
   final TargetSelector selector;
   private final PlatformStore store;
@@ -92,11 +93,7 @@
                 clock,
                 events,
                 this::applyTargets,
-                reachable -> {
-                  if (reachable) {
-                    targets.registryReturned();
-                  }
-                }));
+                this::registryChanged));
     releaseFeed = follower("releases", store.releases(), this::applyReleases);
     evacuationFeed = follower("evacuations", store.evacuations(), this::applyEvacuations);
     hostFeed = follower("hosts", store.hosts(), this::applyHosts);
@@ -236,13 +233,29 @@
     detectStaleWatches(now == null ? 0 : now.document.version());
   }
 
+  private void registryChanged(boolean reachable) {
+    if (reachable) {
+      targets.registryReturned(outage.returned(clock.nanoTime()));
+    } else {
+      outage.lost(Math.max(targetFeed.revision(), newestTargetsHeard()));
+    }
+  }
+
+  private long newestTargetsHeard() {
+    long newest = 0;
+    for (HostBeat beat : hosts.live()) {
+      newest = Math.max(newest, beat.getTargetsRevision());
+    }
+    return newest;
+  }
+
   private void detectStaleWatches(long version) {
     long newestDocument = 0;
-    long newestTargets = 0;
     for (HostBeat beat : hosts.live()) {
       newestDocument = Math.max(newestDocument, beat.getDocumentVersion());
-      newestTargets = Math.max(newestTargets, beat.getTargetsRevision());
     }
+    long newestTargets = newestTargetsHeard();
+    outage.heard(newestTargets, clock.nanoTime());
     staleDocumentNanos = staleSince(newestDocument > version, staleDocumentNanos, documentFeed);
     boolean behind = newestTargets > targetFeed.revision();
     staleTargetsNanos = staleSince(behind, staleTargetsNanos, targetFeed);
--- a/steering/src/main/java/verbenahatch/steering/TargetTable.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetTable.java
@@ -89,10 +89,14 @@
     return own;
   }
 
-  /** Tells that the registry answers again after an outage. */
-  synchronized void registryReturned() {
+  /**
+   * Tells that the registry answers again after an outage.
+   *
+   * @param sinceNanos the time since which it does
+   */
+  synchronized void registryReturned(long sinceNanos) {
     inReturn = true;
-    returnNanos = clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(RETURN_MILLIS);
+    returnNanos = sinceNanos + TimeUnit.MILLISECONDS.toNanos(RETURN_MILLIS);
   }
 
   /** Drops entries that did not come back. */
--- a/steering/src/test/java/verbenahatch/steering/TargetTableTest.java
+++ b/steering/src/test/java/verbenahatch/steering/TargetTableTest.java
@@ -52,7 +52,7 @@
   @ValueSource(booleans = {true, false})
   void entryMissingAfterOutageIsKeptForTheReturnTime(boolean comesBack) {
     table.replace(Map.of("one", one));
-    table.registryReturned();
+    table.registryReturned(clock.nanoTime());
     table.replace(Map.of());
     table.expire();
     assertTrue(only().isOffered());
@@ -86,4 +86,15 @@
     assertFalse(table.isEvacuated("a1"));
     assertTrue(only().isCold(clock.nanoTime()));
   }
+
+  /** A host that was cut off alone must not keep targets that left meanwhile. */
+  @Test
+  void entryMissingAfterCutOfThisHostAloneIsDroppedAtOnce() {
+    table.replace(Map.of("t1", Samples.target("t1", "a1", "v1")));
+    long seen = clock.nanoTime();
+    clock.advance(Duration.ofMillis(TargetTable.RETURN_MILLIS));
+    table.registryReturned(seen);
+    table.replace(Map.of());
+    assertEquals(0, table.size());
+  }
 }
