--- a/steering/src/test/java/verbenahatch/steering/FollowerTest.java
+++ b/steering/src/test/java/verbenahatch/steering/FollowerTest.java
@@ -103,6 +103,7 @@
     lists.add(Result.err(new FeedError.Unavailable("down")));
     lists.add(changes(6, "a"));
     play();
-    assertEquals(List.of(true, false, true), reachable.subList(0, 3));
+    // The follower goes on after the script and reports the next loss.
+    assertEquals(List.of(true, false, true), List.copyOf(reachable).subList(0, 3));
   }
 }
