--- a/ctl/src/main/java/verbenahatch/ctl/explain/Explanation.java
+++ b/ctl/src/main/java/verbenahatch/ctl/explain/Explanation.java
@@ -55,11 +55,16 @@
       if (line.number() == REQUEST && line.field("id").equals(id)) {
         entries.add(new Entry(line, host, view.describe(line)));
       } else if (line.number() == NOT_LOGGED) {
-        leftOut.merge(host, Long.parseLong(line.field("count")), Long::sum);
+        leftOut.merge(host, count(line.field("count")), Long::sum);
       }
     }
   }
 
+  // A line that was cut off still tells that at least one line was left out.
+  private static long count(String text) {
+    return text.matches("\\d{1,9}") ? Long.parseLong(text) : 1;
+  }
+
   /**
    * Tells whether any line is about the request.
    *
--- a/ctl/src/test/java/verbenahatch/ctl/explain/ExplanationTest.java
+++ b/ctl/src/test/java/verbenahatch/ctl/explain/ExplanationTest.java
@@ -78,6 +78,15 @@
         explanation("q1", List.of("", "text")).describe());
   }
 
+  @ParameterizedTest
+  @CsvSource({"count=7, 7", "count=x, 1", "count=, 1", "'', 1", "count=99999999999999999999, 1"})
+  void damagedCountOfLeftOutLinesIsTakenAsOne(String field, long count) {
+    List<String> lines =
+        List.of("2026-04-18T06:25:42.000Z INFO VH-1115 requests-not-logged " + field);
+    String text = String.join("\n", explanation("q1", lines).describe());
+    assertTrue(text.contains("Host h1 left out " + count + " lines"), text);
+  }
+
   /** Two hosts had the request; a collector wrote their names before the lines. */
   @Test
   void linesOfSeveralHostsComeInOrderOfTime() {
--- a/steering/src/main/java/verbenahatch/steering/FleetShape.java
+++ b/steering/src/main/java/verbenahatch/steering/FleetShape.java
@@ -21,7 +21,7 @@
   /** Datagrams per second that a host sends to near hosts at most; bounds bytes between zones. */
   private static final int NEAR_PER_SECOND = 48;
 
-  /** Datagrams per second to far hosts at most; bounds bytes between regions, which are dear. */
+  /** Datagrams per second to far hosts at most; bounds bytes between regions, which cost most. */
   private static final int FAR_PER_SECOND = 12;
 
   /** Hosts that hear all others at the near pace: the one that writes and its follower. */
--- a/steering/src/main/java/verbenahatch/steering/QuotaTable.java
+++ b/steering/src/main/java/verbenahatch/steering/QuotaTable.java
@@ -38,8 +38,7 @@
 
   /**
    * Part of the allowed excess that is used. The rest covers the time until a cut is noticed, and
-   * requests that wait between their admission and their target: with 0.5 the simulation of the
-   * tests exceeded the terms by 1 in 100.
+   * requests that wait between their admission and their target; QuotaTableTest plays both.
    */
   private static final double EXCESS_PART = 0.35;
 
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -141,9 +141,8 @@
         continue;
       }
       shortest = Math.min(shortest, choice.waitMillis);
-      // Under load a request does not evade a queue to a target where its object is cold: that
-      // takes
-      // more slot time than it saves and keeps the overload alive.
+      // Under load a request does not leave a queue for a target where its object is cold: that
+      // takes more slot time than it saves, and the overload goes on.
       if (price > 0 || choice.waitMillis <= longestWait(choice, need)) {
         byRegion.merge(target.region, choice, TargetSelector::sooner);
       }
--- a/steering/src/test/java/verbenahatch/steering/TargetSelectorTest.java
+++ b/steering/src/test/java/verbenahatch/steering/TargetSelectorTest.java
@@ -188,7 +188,7 @@
   }
 
   /**
-   * Under load a request must not evade a queue to a target where its object is cold: on
+   * Under load a request must not leave a queue for a target where its object is cold: on
    * casa-abierta scale-1 that took the worth from 0.51 to 0.10.
    */
   @Test
