Notice watches that a silent store has forgotten; send beats of a zone together

The document's watch now waits 4 s at most, and its loss or return repeats the other calls. The check of a request's key and rate is a class of its own.

--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -21,7 +21,6 @@
 import verbenahatch.steering.model.SteeringDocument.SteeringWorkspace;
 import verbenahatch.steering.model.WireProtocol.CallerRequest;
 import verbenahatch.steering.model.WireProtocol.TargetRequest;
-import verbenahatch.steering.quota.Admission;
 
 /**
  * Takes one request from the caller to a target and back.
@@ -29,7 +28,7 @@
  * <p>Nothing blocks. A request that may run once only is repeated only if it certainly did not run;
  * a refusal that promises this is given only in that case.
  */
-final class EntryExchange implements TargetCall.Listener {
+final class EntryExchange implements TargetCall.Listener, CallerAdmission.Listener {
 
   /** An answer below this part of the remaining time is not worth a repeat. */
   private static final long MIN_REPEAT_MILLIS = 100;
@@ -96,55 +95,22 @@
       millis = Math.min(millis, caller.waitMillis());
     }
     deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(millis);
-    if (!index.needsKeys() || found.open()) {
-      readBody(index);
-      return;
-    }
-    String key = caller.key();
-    SteeringWorkspace holder = key == null ? null : index.workspace(key);
-    if (holder == null) {
-      refuse(RefusalReason.BAD_KEY, key == null ? "no key" : "unknown key");
-      return;
-    }
-    workspace = holder;
-    admit(index, holder);
+    new CallerAdmission(context, request, this).start(index, found, caller.key());
   }
 
-  private void admit(DocumentIndex index, SteeringWorkspace holder) {
-    Thread asking = Thread.currentThread();
-    context.state.quotas.admit(
-        holder,
-        decision -> {
-          if (Thread.currentThread() == asking) {
-            admitted(index, holder, decision);
-          } else {
-            // The thread of the link between hosts must not do the work of requests.
-            request.getComponents().getExecutor().execute(() -> resume(index, holder, decision));
-          }
-        });
-  }
-
-  private void resume(DocumentIndex index, SteeringWorkspace holder, Admission.Decision decision) {
-    try {
-      admitted(index, holder, decision);
-    } catch (RuntimeException e) {
-      context.state.events.log(SteeringEvent.TASK_FAILED, "request", e.toString());
-      refuse(RefusalReason.INTERNAL, e.toString());
-    }
+  @Override
+  public void holder(SteeringWorkspace holder) {
+    workspace = holder;
   }
 
-  private void admitted(
-      DocumentIndex index, SteeringWorkspace holder, Admission.Decision decision) {
-    context.metrics.admissions.labelValues(decision.name()).inc();
-    if (decision.isAdmitted()) {
-      readBody(index);
-    } else {
-      refuse(RefusalReason.OVER_QUOTA, decision + ", rate " + holder.ratePerSecond());
-    }
+  @Override
+  public void admitted(DocumentIndex index) {
+    side.readBody(index.document.limits().maxBodyBytes(), this::bodyRead, this::refuse);
   }
 
-  private void readBody(DocumentIndex index) {
-    side.readBody(index.document.limits().maxBodyBytes(), this::bodyRead, this::refuse);
+  @Override
+  public void refused(RefusalReason refusal, String reason) {
+    refuse(refusal, reason);
   }
 
   private void bodyRead(byte @Nullable [] bytes) {
--- a/steering/src/main/java/verbenahatch/steering/PeerLink.java
+++ b/steering/src/main/java/verbenahatch/steering/PeerLink.java
@@ -20,6 +20,7 @@
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
+import verbenahatch.kernel.Hashing;
 import verbenahatch.peer.generated.PeerDatagram;
 import verbenahatch.steering.model.SteeringSettings;
 import verbenahatch.steering.quota.Admission;
@@ -69,7 +70,28 @@
     } catch (RuntimeException e) {
       state.events.log(SteeringEvent.TASK_FAILED, "beat", e.toString());
     }
-    group.schedule(this::beat, state.hosts.beatMillis(), TimeUnit.MILLISECONDS);
+    group.schedule(this::beat, pauseMillis(), TimeUnit.MILLISECONDS);
+  }
+
+  private long pauseMillis() {
+    long period = state.hosts.beatMillis();
+    if (state.hosts.isSmallFleet()) {
+      return period;
+    }
+    return pauseMillis(period, settings.zone(), state.clock.wallMillis());
+  }
+
+  /**
+   * Returns the time until the next beat of a zone.
+   *
+   * <p>The hosts of a zone send at about the same time, so that others read many beats at once: a
+   * wake-up costs a small machine more than a beat.
+   */
+  static long pauseMillis(long period, String zone, long wallMillis) {
+    long phase = Math.floorMod(Hashing.of(zone), period);
+    long pause = period - Math.floorMod(wallMillis - phase, period);
+    // A timer that fires early must not send twice.
+    return pause < period / 4 ? pause + period : pause;
   }
 
   private void send() {
--- a/steering/src/main/java/verbenahatch/steering/SteeringState.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringState.java
@@ -116,7 +116,13 @@
     relays = new FeedRelays(hosts, settings, this::storeFailed);
     feeds = new FeedContext(clock, events, closer.register(new PeerFeeds()), relays);
     documentFeed =
-        follower("document", store.documents(), new DocumentMessages(), this::applyDocuments);
+        follower(
+            "document",
+            store.documents(),
+            new DocumentMessages(),
+            this::applyDocuments,
+            this::storeChanged);
+    documentFeed.useShortWaits();
     targetFeed =
         follower(
             "targets",
@@ -302,6 +308,15 @@
     detectStaleWatches(now == null ? 0 : now.document.version());
   }
 
+  /** Repeats the long calls of other feeds, which the store may have forgotten in an outage. */
+  private void storeChanged(boolean reachable) {
+    for (Follower<?> follower : followers) {
+      if (follower != documentFeed) {
+        follower.repeatCall();
+      }
+    }
+  }
+
   private void registryChanged(boolean reachable) {
     if (reachable) {
       targets.registryReturned(outage.returned(clock.nanoTime()));
--- a/steering/src/main/java/verbenahatch/steering/feed/Follower.java
+++ b/steering/src/main/java/verbenahatch/steering/feed/Follower.java
@@ -23,9 +23,15 @@
  */
 public final class Follower<T> implements AutoCloseable {
 
-  /** Longest wait of one watch; probes on the connection notice silence long before. */
+  /** Longest wait of one watch; probes on the connection notice a lost path long before. */
   private static final Duration WATCH_WAIT = Duration.ofSeconds(25);
 
+  /**
+   * Longest wait of a watch that also shows whether the store still knows of the waiting calls. The
+   * terms leave 6 s and more from the end of an outage to the next change that must be in force.
+   */
+  private static final Duration GUARD_WAIT = Duration.ofSeconds(4);
+
   /** Pause after changes, so that those that follow each other come in one call. */
   private static final long GATHER_MILLIS = 200;
 
@@ -52,6 +58,7 @@
   private volatile long revision;
   private volatile long lostNanos;
   private volatile Runnable onChange = () -> {};
+  private Duration watchWait = WATCH_WAIT;
   private BooleanSupplier startCondition = () -> true;
   private long startMillis;
   private long pauseMillis = MIN_PAUSE_MILLIS;
@@ -84,6 +91,16 @@
     thread.setDaemon(true);
   }
 
+  /** Makes this follower wait for a short time only in each call, before it is started. */
+  public void useShortWaits() {
+    watchWait = GUARD_WAIT;
+  }
+
+  /** Ends the present call, which may be one that the store has forgotten, and makes the next. */
+  public void repeatCall() {
+    thread.interrupt();
+  }
+
   /** Starts to follow. */
   public void start() {
     thread.start();
@@ -233,7 +250,7 @@
   }
 
   private boolean watch() {
-    Result<Changes<T>, FeedError> result = feed.watch(revision, WATCH_WAIT);
+    Result<Changes<T>, FeedError> result = feed.watch(revision, watchWait);
     if (!result.isOk()) {
       if (Thread.interrupted() || relist) {
         return true;
