--- a/steering/src/main/java/verbenahatch/steering/SteeringState.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringState.java
@@ -312,7 +312,7 @@
   private void storeChanged(boolean reachable) {
     for (Follower<?> follower : followers) {
       if (follower != documentFeed) {
-        follower.repeatCall();
+        follower.repeatWatch();
       }
     }
   }
--- a/steering/src/main/java/verbenahatch/steering/feed/Follower.java
+++ b/steering/src/main/java/verbenahatch/steering/feed/Follower.java
@@ -55,6 +55,7 @@
   private volatile boolean reachable;
   private volatile boolean listed;
   private volatile boolean relist;
+  private volatile boolean watching;
   private volatile long revision;
   private volatile long lostNanos;
   private volatile Runnable onChange = () -> {};
@@ -96,9 +97,11 @@
     watchWait = GUARD_WAIT;
   }
 
-  /** Ends the present call, which may be one that the store has forgotten, and makes the next. */
-  public void repeatCall() {
-    thread.interrupt();
+  /** Ends a watch that waits, which the store may have forgotten, and makes the next call. */
+  public void repeatWatch() {
+    if (watching) {
+      thread.interrupt();
+    }
   }
 
   /** Starts to follow. */
@@ -199,7 +202,7 @@
   /** Ends a call that waits at a host that should no longer be asked. */
   public void checkSource() {
     if (feed.isOutdated()) {
-      thread.interrupt();
+      repeatWatch();
     }
   }
 
@@ -250,7 +253,9 @@
   }
 
   private boolean watch() {
+    watching = true;
     Result<Changes<T>, FeedError> result = feed.watch(revision, watchWait);
+    watching = false;
     if (!result.isOk()) {
       if (Thread.interrupted() || relist) {
         return true;
--- a/steering/src/main/java/verbenahatch/steering/quota/QuotaTable.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/QuotaTable.java
@@ -88,10 +88,9 @@
     double known(long now) {
       long limit = TimeUnit.MILLISECONDS.toNanos(bounds.quotaWindowMillis());
       double sum = 0;
+      elsewhere.values().removeIf(granted -> now - granted.atNanos > limit);
       for (Elsewhere granted : elsewhere.values()) {
-        if (now - granted.atNanos <= limit) {
-          sum += granted.requests;
-        }
+        sum += granted.requests;
       }
       Inherited earlier = inherited;
       double left = 1 - (now - earlier.atNanos) / 1e6 / windowMillis();
--- /dev/null
+++ b/steering/src/test/java/verbenahatch/steering/FeedRelaysTest.java
@@ -0,0 +1,102 @@
+package verbenahatch.steering;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import verbenahatch.kernel.Events;
+import verbenahatch.kernel.ManualClock;
+import verbenahatch.peer.generated.HostBeat;
+import verbenahatch.steering.model.HostRecord;
+
+/** Guards against zones in which nobody, or everybody, reads the store. */
+class FeedRelaysTest {
+
+  private final ManualClock clock = new ManualClock();
+  private boolean storeFailed;
+
+  private static String name(int host) {
+    return String.format(java.util.Locale.ROOT, "h%03d", host);
+  }
+
+  /** Describes a fleet in which host i lies in region a, b or c, each with one zone. */
+  private HostTable table(int own, int hosts) {
+    String region = region(own);
+    HostTable table =
+        new HostTable(clock, Events.none(), Samples.settings(name(own), region), "i" + own);
+    Map<String, HostRecord> records = new HashMap<>();
+    for (int i = 0; i < hosts; i++) {
+      records.put(name(i), Samples.host(name(i), region(i)));
+    }
+    table.register(records);
+    return table;
+  }
+
+  private static String region(int host) {
+    return java.util.List.of("a", "b", "c").get(host % 3);
+  }
+
+  private static HostBeat.Builder beat(int host) {
+    return HostBeat.newBuilder()
+        .setHost(name(host))
+        .setIncarnation("i" + host)
+        .setSequence(1)
+        .setRegion(region(host))
+        .setZone(region(host) + "1")
+        .setPeerAddress("10.0.0." + host + ":7")
+        .setStoreReachable(true);
+  }
+
+  private FeedRelays relays(HostTable table, int own) {
+    return new FeedRelays(table, Samples.settings(name(own), region(own)), () -> storeFailed);
+  }
+
+  @Test
+  void smallFleetReadsTheStore() {
+    HostTable table = table(8, 9);
+    table.receive(beat(2).build());
+    assertNull(relays(table, 8).relay());
+  }
+
+  @Test
+  void firstHostOfTheZoneIsAsked() {
+    HostTable table = table(20, 30);
+    table.receive(beat(5).build());
+    table.receive(beat(8).build());
+    table.receive(beat(4).build());
+    assertEquals("10.0.0.5:7", relays(table, 20).relay());
+  }
+
+  @Test
+  void hostThatLostTheStoreOrLeavesIsPassedOver() {
+    HostTable table = table(20, 30);
+    table.receive(beat(5).setStoreReachable(false).build());
+    table.receive(beat(8).setLeaving(true).build());
+    table.receive(beat(11).build());
+    assertEquals("10.0.0.11:7", relays(table, 20).relay());
+  }
+
+  @Test
+  void firstHostReadsTheStoreItself() {
+    HostTable table = table(5, 30);
+    table.receive(beat(8).build());
+    FeedRelays relays = relays(table, 5);
+    assertNull(relays.relay());
+    storeFailed = true;
+    assertEquals("10.0.0.8:7", relays.relay());
+  }
+
+  /** Two hosts that follow each other would take old objects for new ones. */
+  @Test
+  void substituteReadsTheStoreItself() {
+    HostTable table = table(8, 9);
+    table.receive(beat(2).build());
+    FeedRelays relays = relays(table, 8);
+    assertNull(relays.substitute());
+    table.receive(beat(3).setReadsStore(true).build());
+    table.receive(beat(5).setReadsStore(true).build());
+    assertEquals("10.0.0.5:7", relays.substitute());
+  }
+}
