--- a/steering/src/main/java/verbenahatch/steering/PeerLink.java
+++ b/steering/src/main/java/verbenahatch/steering/PeerLink.java
@@ -125,6 +125,11 @@
     }
   }
 
+  @Override
+  public void send(String address, PeerDatagram datagram) {
+    channel.writeAndFlush(packet(address, datagram.toByteArray()));
+  }
+
   private static DatagramPacket packet(String address, byte[] bytes) {
     int colon = address.lastIndexOf(':');
     int port = Integer.parseInt(address.substring(colon + 1));
@@ -132,11 +137,6 @@
     return new DatagramPacket(Unpooled.wrappedBuffer(bytes), to);
   }
 
-  @Override
-  public void send(String address, PeerDatagram datagram) {
-    channel.writeAndFlush(packet(address, datagram.toByteArray()));
-  }
-
   @Override
   public void after(long millis, Runnable task) {
     group.schedule(task, millis, TimeUnit.MILLISECONDS);
--- a/steering/src/main/java/verbenahatch/steering/feed/DocumentMessages.java
+++ b/steering/src/main/java/verbenahatch/steering/feed/DocumentMessages.java
@@ -87,7 +87,7 @@
     FeedDocument document = message.getDocument();
     List<SteeringRoute> routes = new ArrayList<>();
     for (FeedRoute route : document.getRoutesList()) {
-      routes.add(route(route));
+      routes.add(readRoute(route));
     }
     Map<String, SteeringService> services = new HashMap<>();
     for (FeedService service : document.getServicesList()) {
@@ -119,7 +119,7 @@
     return new SteeringDocument(document.getVersion(), routes, services, workspaces, limits);
   }
 
-  private static SteeringRoute route(FeedRoute route) {
+  private static SteeringRoute readRoute(FeedRoute route) {
     List<RoutePart> parts = new ArrayList<>();
     for (FeedPart part : route.getPartsList()) {
       parts.add(new RoutePart(part.getService(), part.getWeight()));
--- a/steering/src/main/java/verbenahatch/steering/quota/Admission.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/Admission.java
@@ -272,7 +272,7 @@
       case ADMISSION_REQUEST -> answer(datagram.getAdmissionRequest(), from, datagrams);
       case ADMISSION_ANSWER ->
           finish(datagram.getAdmissionAnswer().getId(), datagram.getAdmissionAnswer().getVerdict());
-      case REGION_USE -> receive(datagram.getRegionUse(), datagrams);
+      case REGION_USE -> takeUse(datagram.getRegionUse(), datagrams);
       default -> {}
     }
   }
@@ -290,7 +290,7 @@
     datagrams.send(from, PeerDatagram.newBuilder().setAdmissionAnswer(answer).build());
   }
 
-  private void receive(RegionUse use, Transport datagrams) {
+  private void takeUse(RegionUse use, Transport datagrams) {
     if (use.getHandedOn()) {
       reports.receive(use);
       return;
@@ -390,7 +390,7 @@
     idle.forEach(name -> use(byGroup, name).addDemands(demand(name, 0, 0)));
     for (String region : fleet.regions()) {
       if (!region.equals(fleet.region())) {
-        send(datagrams, byGroup, fleet.hostsIn(region));
+        sendUse(datagrams, byGroup, fleet.hostsIn(region));
       }
     }
   }
@@ -400,7 +400,7 @@
         QuotaHomes.group(workspace), group -> RegionUse.newBuilder().setRegion(fleet.region()));
   }
 
-  private static void send(
+  private static void sendUse(
       Transport datagrams, Map<Integer, RegionUse.Builder> byGroup, Map<String, String> addresses) {
     byGroup.forEach(
         (group, use) -> {
--- a/steering/src/main/java/verbenahatch/steering/quota/BeatReports.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/BeatReports.java
@@ -37,7 +37,7 @@
 
   @Override
   public synchronized void refresh() {
-    long now = clock.nanoTime();
+    final long now = clock.nanoTime();
     List<HostBeat> live = fleet.live();
     heard = live.size();
     count = Math.max(fleet.count(), heard + 1);
--- a/steering/src/test/java/verbenahatch/steering/PeerLinkTest.java
+++ b/steering/src/test/java/verbenahatch/steering/PeerLinkTest.java
@@ -11,7 +11,7 @@
 
   @ParameterizedTest
   @CsvSource({"667, 0", "667, 1234567", "667, 1234890", "400, 17", "3800, 999999", "667, -5"})
-  void hostsOfAZoneSendTogether(long period, long wallMillis) {
+  void hostsOfOneZoneSendTogether(long period, long wallMillis) {
     long first = PeerLink.pauseMillis(period, "z", wallMillis);
     long second = PeerLink.pauseMillis(period, "z", wallMillis + 40);
     long apart = Math.floorMod(first - second - 40, period);
--- a/steering/src/test/java/verbenahatch/steering/feed/FeedLogTest.java
+++ b/steering/src/test/java/verbenahatch/steering/feed/FeedLogTest.java
@@ -43,7 +43,7 @@
   }
 
   @Test
-  void mergesChangesAfterARevision() {
+  void mergesChangesAfterOneRevision() {
     log.apply(written(5, "a", "b"), true);
     log.apply(written(6, "c"), false);
     log.apply(gone(8, "a", "c"), false);
--- a/steering/src/test/java/verbenahatch/steering/feed/PeerFeedsTest.java
+++ b/steering/src/test/java/verbenahatch/steering/feed/PeerFeedsTest.java
@@ -162,7 +162,7 @@
 
   /** A host that starts while the store is silent takes what another host read before. */
   @Test
-  void firstListIsTakenFromAHostWithoutStore() throws InterruptedException {
+  void firstListIsTakenFromHostWithoutStore() throws InterruptedException {
     store.add(written(5, "a"));
     nextApplied();
     store.add(Result.err(new FeedError.Unavailable("down")));
@@ -188,7 +188,7 @@
 
   /** A host that the store refuses goes on through another one that it serves. */
   @Test
-  void hostWithoutStoreFollowsASubstitute() throws InterruptedException {
+  void hostWithoutStoreFollowsSubstitute() throws InterruptedException {
     store.add(written(5, "a"));
     nextApplied();
     Follower<String> follower = follower(new FailingStore(), new FixedSources(null, address));
