--- a/steering/src/main/java/verbenahatch/steering/HeaderTimeout.java
+++ b/steering/src/main/java/verbenahatch/steering/HeaderTimeout.java
@@ -67,8 +67,8 @@
   }
 
   private static boolean isInHeader(HttpParser.State state) {
-    return state.ordinal() > HttpParser.State.START.ordinal()
-        && state.ordinal() < HttpParser.State.CONTENT.ordinal();
+    return state.compareTo(HttpParser.State.START) > 0
+        && state.compareTo(HttpParser.State.CONTENT) < 0;
   }
 
   private static void end(EndPoint endPoint) {
