Mend what callers see of refused bodies, streams, requests sent ahead and planned stops

CallerWatchTest drove the old one-byte interface; its checks hold on the new one, and the check of the returned byte became one of all bytes in order for three buffer sizes.

--- a/gateway/src/main/java/verbenahatch/gateway/GatewayServer.java
+++ b/gateway/src/main/java/verbenahatch/gateway/GatewayServer.java
@@ -15,7 +15,6 @@
 import org.eclipse.jetty.io.ArrayByteBufferPool;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
@@ -24,6 +23,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
+import verbenahatch.http.WatchedConnectionFactory;
 
 /** HTTP server for callers, on HTTP/1.1 and HTTP/2 in clear text. */
 public final class GatewayServer implements AutoCloseable {
@@ -84,7 +84,7 @@
             server,
             1,
             2,
-            new HttpConnectionFactory(httpConfiguration),
+            new WatchedConnectionFactory(httpConfiguration),
             new HTTP2CServerConnectionFactory(httpConfiguration));
     connector.setHost(context.settings().callers().address());
     connector.setPort(context.settings().callers().port());
--- a/http/src/main/java/verbenahatch/http/CallerWatch.java
+++ b/http/src/main/java/verbenahatch/http/CallerWatch.java
@@ -1,15 +1,11 @@
 package verbenahatch.http;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpVersion;
-import org.eclipse.jetty.io.AbstractEndPoint;
-import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.EofException;
 import org.eclipse.jetty.server.Request;
-import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 
@@ -17,19 +13,18 @@
  * Detects that an HTTP/1.1 caller closes its connection while its request is in progress.
  *
  * <p>The server library does not read from the connection between a request and its response, so it
- * does not detect the close itself. The watch reads at most one byte; if that byte belongs to a
- * pipelined request, it is returned to the connection.
+ * does not detect the close itself. The watch reads ahead of the server; requests that the caller
+ * sent ahead are stored for the server up to a bound. A caller that sends more than that and then
+ * closes is detected when the response is written.
  */
 public final class CallerWatch implements Callback {
 
-  private final EndPoint endPoint;
-  private final Connection connection;
+  private final ReadAheadEndPoint endPoint;
   private final Consumer<Throwable> onDisconnect;
   private boolean ended;
 
-  private CallerWatch(EndPoint endPoint, Connection connection, Consumer<Throwable> onDisconnect) {
+  private CallerWatch(ReadAheadEndPoint endPoint, Consumer<Throwable> onDisconnect) {
     this.endPoint = endPoint;
-    this.connection = connection;
     this.onDisconnect = onDisconnect;
   }
 
@@ -39,32 +34,27 @@
    * @param request a request whose body was read completely
    * @param onDisconnect called at most once, with the cause, if the caller closes the connection
    * @return the watch, on which {@link #end()} must be called before the response is completed;
-   *     null if the request is not HTTP/1.1 or its connection cannot be watched
+   *     null if the request is not HTTP/1.1 or no {@link WatchedConnectionFactory} created its
+   *     connection
    */
   public static @Nullable CallerWatch begin(Request request, Consumer<Throwable> onDisconnect) {
     if (request.getConnectionMetaData().getHttpVersion() != HttpVersion.HTTP_1_1) {
       return null;
     }
-    Connection connection = request.getConnectionMetaData().getConnection();
-    EndPoint endPoint = connection.getEndPoint();
-    if (endPoint == null) {
-      return null;
-    }
-    return begin(endPoint, connection, onDisconnect);
+    EndPoint endPoint = request.getConnectionMetaData().getConnection().getEndPoint();
+    return endPoint instanceof ReadAheadEndPoint watched ? begin(watched, onDisconnect) : null;
   }
 
-  static @Nullable CallerWatch begin(
-      EndPoint endPoint, Connection connection, Consumer<Throwable> onDisconnect) {
-    CallerWatch watch = new CallerWatch(endPoint, connection, onDisconnect);
-    return endPoint.tryFillInterested(watch) ? watch : null;
+  static @Nullable CallerWatch begin(ReadAheadEndPoint endPoint, Consumer<Throwable> onDisconnect) {
+    CallerWatch watch = new CallerWatch(endPoint, onDisconnect);
+    return endPoint.awaitInput(watch) ? watch : null;
   }
 
   /**
    * Stops watching, so that the server can read from the connection again.
    *
-   * <p>Blocks while the watch reads a byte, because that byte may belong to the caller's next
-   * request and the server must not read on before it is returned to the connection. Calling this
-   * method again has no effect.
+   * <p>Blocks while the watch reads, because the server must not read on before the bytes are
+   * stored for it. Calling this method again has no effect.
    */
   public void end() {
     synchronized (this) {
@@ -73,40 +63,32 @@
       }
       ended = true;
     }
-    if (endPoint instanceof AbstractEndPoint abstractEndPoint) {
-      abstractEndPoint.getFillInterest().onFail(new IOException("caller watch ended"));
-    }
+    endPoint.cancelAwait(new IOException("caller watch ended"));
   }
 
   @Override
   public void succeeded() {
-    Throwable cause = readByte();
+    Throwable cause = readAhead();
     if (cause != null) {
       onDisconnect.accept(cause);
     }
   }
 
-  private synchronized @Nullable Throwable readByte() {
+  private synchronized @Nullable Throwable readAhead() {
     if (ended) {
       return null;
     }
     ended = true;
-    ByteBuffer buffer = BufferUtil.allocate(1);
     try {
-      int filled = endPoint.fill(buffer);
-      if (filled == 0) {
-        // The selector can report input that the server has read since then; the caller is still
-        // connected.
-        ended = !endPoint.tryFillInterested(this);
-        return null;
-      }
-      if (filled < 0) {
-        return new EofException("caller closed the connection");
-      }
-      if (filled > 0 && connection instanceof Connection.UpgradeTo pipelined) {
-        pipelined.onUpgradeTo(buffer);
-      }
-      return null;
+      // The selector can report input that the server has read since then, so there may be none.
+      return switch (endPoint.readAhead()) {
+        case CLOSED -> new EofException("caller closed the connection");
+        case FULL -> null;
+        case WAITING -> {
+          ended = !endPoint.awaitInput(this);
+          yield null;
+        }
+      };
     } catch (IOException e) {
       return e;
     }
--- a/http/src/test/java/verbenahatch/http/CallerWatchTest.java
+++ b/http/src/test/java/verbenahatch/http/CallerWatchTest.java
@@ -4,12 +4,14 @@
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.List;
-import org.eclipse.jetty.io.AbstractConnection;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.eclipse.jetty.io.ByteArrayEndPoint;
-import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.util.BufferUtil;
+import org.eclipse.jetty.util.Callback;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -17,41 +19,39 @@
 
 class CallerWatchTest {
 
-  private final ByteArrayEndPoint endPoint = new ByteArrayEndPoint();
-  private final PipelinedConnection connection = new PipelinedConnection(endPoint);
+  private final ByteArrayEndPoint socket = new ByteArrayEndPoint();
+  private final ReadAheadEndPoint endPoint = new ReadAheadEndPoint(socket, Runnable::run);
   private final List<Throwable> disconnects = new ArrayList<>();
 
-  /** Records the bytes that the watch returns to the connection. */
-  private static final class PipelinedConnection extends AbstractConnection
-      implements Connection.UpgradeTo {
-    private final List<Byte> returnedBytes = new ArrayList<>();
-
-    PipelinedConnection(ByteArrayEndPoint endPoint) {
-      super(endPoint, Runnable::run);
-    }
-
-    @Override
-    public void onUpgradeTo(ByteBuffer buffer) {
-      while (buffer.hasRemaining()) {
-        returnedBytes.add(buffer.get());
-      }
-    }
-
-    @Override
-    public void onFillable() {}
-  }
-
   @BeforeEach
   void open() {
-    endPoint.onOpen();
+    socket.onOpen();
   }
 
   private CallerWatch begin() {
-    CallerWatch watch = CallerWatch.begin(endPoint, connection, disconnects::add);
+    CallerWatch watch = CallerWatch.begin(endPoint, disconnects::add);
     assertNotNull(watch);
     return watch;
   }
 
+  private void receive(String input) {
+    socket.addInput(input);
+    socket.getFillInterest().fillable();
+  }
+
+  /** Reads as the server does, which may use a small buffer that is partly filled. */
+  private String readAsServer(int capacity) throws IOException {
+    StringBuilder text = new StringBuilder();
+    while (true) {
+      ByteBuffer buffer = BufferUtil.allocate(capacity);
+      BufferUtil.append(buffer, (byte) '-');
+      if (endPoint.fill(buffer) <= 0) {
+        return text.toString();
+      }
+      text.append(BufferUtil.toString(buffer).substring(1));
+    }
+  }
+
   // Guards against a watch that treats a late report of input, which the server has already read,
   // as a disconnect, or that misses a disconnect after such a report.
   @ParameterizedTest
@@ -59,13 +59,13 @@
   void detectsDisconnectAfterReportsWithoutInput(int reports) {
     begin();
     for (int i = 0; i < reports; i++) {
-      endPoint.getFillInterest().fillable();
+      socket.getFillInterest().fillable();
     }
     assertTrue(endPoint.isOpen());
     assertEquals(List.of(), disconnects);
 
-    endPoint.addInputEOF();
-    endPoint.getFillInterest().fillable();
+    socket.addInputEOF();
+    socket.getFillInterest().fillable();
     assertEquals(1, disconnects.size());
   }
 
@@ -73,20 +73,56 @@
   @Test
   void releasesConnectionAfterEnd() {
     CallerWatch watch = begin();
-    endPoint.getFillInterest().fillable();
+    socket.getFillInterest().fillable();
     watch.end();
     assertTrue(!endPoint.isFillInterested());
-    endPoint.addInputEOF();
+    socket.addInputEOF();
     assertEquals(List.of(), disconnects);
   }
 
-  // Guards against losing the byte that the watch read from a pipelined request.
-  @Test
-  void returnsByteOfPipelinedRequest() {
+  // Guards against losing or reordering requests that were sent ahead, also if the buffer of the
+  // server has less room than they need.
+  @ParameterizedTest
+  @ValueSource(ints = {2, 7, 8192})
+  void keepsRequestsSentAheadForTheServer(int capacity) throws IOException {
+    CallerWatch watch = begin();
+    List.of("G", "ET / HTTP/1.1\r\n\r\n", "GET /2 HTTP/1.1\r\n\r\n").forEach(this::receive);
+    watch.end();
+    socket.addInput("GET /3");
+    assertEquals("GET / HTTP/1.1\r\n\r\nGET /2 HTTP/1.1\r\n\r\nGET /3", readAsServer(capacity));
+    assertEquals(List.of(), disconnects);
+  }
+
+  // Guards against a watch that stops at the first byte of a request that was sent ahead.
+  @ParameterizedTest
+  @ValueSource(strings = {"G", "GET /2 HTTP/1.1\r\n\r\n"})
+  void detectsDisconnectBehindRequestsSentAhead(String ahead) {
     begin();
-    endPoint.addInput("G");
-    endPoint.getFillInterest().fillable();
-    assertEquals(List.of((byte) 'G'), connection.returnedBytes);
+    receive(ahead);
     assertEquals(List.of(), disconnects);
+    socket.addInputEOF();
+    socket.getFillInterest().fillable();
+    assertEquals(1, disconnects.size());
+  }
+
+  // Guards against a caller that fills the memory of the host by sending without reading.
+  @Test
+  void stopsReadingAtTheBound() throws IOException {
+    begin();
+    String input = "x".repeat(4 * ReadAheadEndPoint.MAX_AHEAD_BYTES);
+    receive(input);
+    assertTrue(!socket.isFillInterested());
+    assertEquals(input, readAsServer(8192));
+  }
+
+  // Guards against a server that waits for input which the watch has read already.
+  @Test
+  void reportsStoredBytesToTheServerAtOnce() {
+    CallerWatch watch = begin();
+    receive("GET");
+    watch.end();
+    AtomicInteger reports = new AtomicInteger();
+    endPoint.fillInterested(Callback.from(reports::incrementAndGet));
+    assertEquals(1, reports.get());
   }
 }
--- a/kernel/src/main/java/verbenahatch/kernel/Kernel.java
+++ b/kernel/src/main/java/verbenahatch/kernel/Kernel.java
@@ -146,8 +146,8 @@
   }
 
   /**
-   * Runs a task at a fixed rate until the kernel is closed, for the first time after one period. A
-   * runtime exception is logged and the task runs again at its next time.
+   * Runs a task at a fixed rate until the kernel is closed, for the first time after one period. An
+   * unchecked exception or an error is logged and the task runs again at its next time.
    *
    * @param name the name of the task in events
    * @param period the time between the starts of two runs, positive
@@ -158,7 +158,7 @@
         () -> {
           try {
             task.run();
-          } catch (RuntimeException e) {
+          } catch (RuntimeException | Error e) {
             events.log(KernelEvent.TASK_FAILED, name, e.toString());
           }
         };
--- a/standins/src/main/java/verbenahatch/standins/target/TargetServer.java
+++ b/standins/src/main/java/verbenahatch/standins/target/TargetServer.java
@@ -6,7 +6,6 @@
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
-import org.eclipse.jetty.server.HttpConnectionFactory;
 import org.eclipse.jetty.server.NetworkConnectionLimit;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -14,6 +13,7 @@
 import org.eclipse.jetty.server.ServerConnector;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import verbenahatch.http.WatchedConnectionFactory;
 
 /** Runs one target with an endpoint for requests and one for control. */
 public final class TargetServer implements AutoCloseable {
@@ -62,7 +62,8 @@
     HttpConfiguration http = new HttpConfiguration();
     http.setSendServerVersion(false);
     http.setSendDateHeader(false);
-    ServerConnector connector = new ServerConnector(server, 1, 1, new HttpConnectionFactory(http));
+    ServerConnector connector =
+        new ServerConnector(server, 1, 1, new WatchedConnectionFactory(http));
     connector.setHost(address);
     connector.setPort(port);
     return connector;
--- a/steering/src/main/java/verbenahatch/steering/CallerAdmission.java
+++ b/steering/src/main/java/verbenahatch/steering/CallerAdmission.java
@@ -60,6 +60,26 @@
         });
   }
 
+  /**
+   * Returns whether a key still belongs to the workspace for which its request was admitted.
+   *
+   * @param index the document in force now
+   * @param route the route of the request in that document
+   * @param key the key of the request, null if it has none
+   * @param admitted the workspace of the request at its admission, null if the route needed no key
+   */
+  static boolean isKeyValid(
+      DocumentIndex index,
+      SteeringRoute route,
+      @Nullable String key,
+      @Nullable SteeringWorkspace admitted) {
+    if (!index.needsKeys() || route.open()) {
+      return true;
+    }
+    SteeringWorkspace current = key == null ? null : index.workspace(key);
+    return current != null && admitted != null && current.name().equals(admitted.name());
+  }
+
   private void onDecisionInExecutor(
       DocumentIndex index, SteeringWorkspace workspace, Decision decision) {
     try {
--- a/steering/src/main/java/verbenahatch/steering/CallerChannel.java
+++ b/steering/src/main/java/verbenahatch/steering/CallerChannel.java
@@ -35,6 +35,8 @@
   private final Callback callback;
   private final AtomicBoolean finished = new AtomicBoolean();
   private long bodyReserved;
+  private volatile boolean bodyRead;
+  private volatile boolean streaming;
   private volatile @Nullable CallerWatch watch;
   private volatile Scheduler.@Nullable Task timeout;
 
@@ -67,6 +69,7 @@
     }
     boolean chunked = request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
     if (declaredLength == 0 || (declaredLength < 0 && !chunked)) {
+      bodyRead = true;
       onRead.accept(null);
       return;
     }
@@ -79,6 +82,7 @@
     Content.Source.asByteArrayAsync(request, limit)
         .whenComplete(
             (bytes, failure) -> {
+              bodyRead = true;
               if (failure instanceof IllegalStateException) {
                 onRefused.accept(RefusalReason.BODY_TOO_LONG, String.valueOf(failure.getMessage()));
               } else if (failure != null) {
@@ -136,7 +140,17 @@
   }
 
   /** Begins a streamed response; the status and header fields are sent with its first part. */
-  void begin(int status, HttpFields fields) {
+  void beginStream(int status, HttpFields fields) {
+    streaming = true;
+    begin(status, fields);
+  }
+
+  /** Returns whether a streamed response was begun, which only its own end may complete. */
+  boolean isStreaming() {
+    return streaming;
+  }
+
+  private void begin(int status, HttpFields fields) {
     context.wire.copyResponse(fields, response.getHeaders());
     response.setStatus(status);
     addConnectionHeader();
@@ -158,10 +172,27 @@
     if (retryAfterSeconds != null) {
       response.getHeaders().put(HttpHeader.RETRY_AFTER, retryAfterSeconds);
     }
+    boolean discardsBody = hasUnreadBody();
+    if (discardsBody && request.getHeaders().contains(HttpHeader.EXPECT)) {
+      // The caller waits for permission to send the body, which the refusal denies.
+      discardsBody = false;
+      response.getHeaders().put(HttpHeader.CONNECTION, "close");
+    }
     addConnectionHeader();
     byte[] text = (reason.name() + "\n").getBytes(StandardCharsets.US_ASCII);
     response.getHeaders().put(HttpHeader.CONTENT_LENGTH, text.length);
-    response.write(true, ByteBuffer.wrap(text), callback);
+    Callback written =
+        discardsBody
+            ? Callback.from(
+                () -> UnreadBody.discard(request, context.timer, callback), callback::failed)
+            : callback;
+    response.write(true, ByteBuffer.wrap(text), written);
+  }
+
+  private boolean hasUnreadBody() {
+    boolean hasBody =
+        request.getLength() > 0 || request.getHeaders().contains(HttpHeader.TRANSFER_ENCODING);
+    return hasBody && !bodyRead;
   }
 
   /** Aborts a streamed response that is incomplete; must be called after {@link #finish}. */
@@ -169,9 +200,16 @@
     callback.failed(new QuietException.Exception(reason));
   }
 
-  /** Ends without a response to a disconnected caller; must be called after {@link #finish}. */
+  /**
+   * Ends without a response to a disconnected caller; must be called after {@link #finish}.
+   *
+   * <p>Closes the connection first. Otherwise the library responds with an error and goes on with
+   * the next request that the caller had sent ahead.
+   */
   void endWithoutResponse() {
-    callback.failed(new QuietException.Exception("the caller disconnected"));
+    QuietException.Exception cause = new QuietException.Exception("the caller disconnected");
+    request.getConnectionMetaData().getConnection().getEndPoint().close(cause);
+    callback.failed(cause);
   }
 
   private void addConnectionHeader() {
--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -84,7 +84,7 @@
       refuse(RefusalReason.BAD_REQUEST, "no host, path or request id");
       return;
     }
-    SteeringRoute matchedRoute = index.route(host.toLowerCase(Locale.ROOT), path);
+    SteeringRoute matchedRoute = matchRoute(index);
     route = matchedRoute;
     if (matchedRoute == null) {
       refuse(RefusalReason.NO_ROUTE, host + path);
@@ -125,7 +125,7 @@
         route != null && route.idempotent(), "the caller disconnected");
   }
 
-  private void onDeadline() {
+  private synchronized void onDeadline() {
     TargetAttempt attempt = currentAttempt;
     boolean sent = mayHaveRun || (attempt != null && attempt.isSent());
     refuse(sent ? RefusalReason.TIMED_OUT : RefusalReason.EXPIRED, "the deadline passed");
@@ -149,6 +149,13 @@
       finishWithoutResponse("the caller disconnected before the request was sent");
       return;
     }
+    if (remainingMillis() <= 0) {
+      refuse(RefusalReason.EXPIRED, "the deadline passed before the request was sent");
+      return;
+    }
+    if (!isStillAllowed()) {
+      return;
+    }
     SteeringRoute matchedRoute = requireRoute();
     DocumentIndex index = document;
     if (index == null) {
@@ -175,6 +182,35 @@
     refuse(lastFailure, outcome + lastReason);
   }
 
+  /**
+   * Checks the request again if a newer document came into force while it waited for its body, its
+   * admission or another attempt; refuses it if the document no longer allows it.
+   */
+  private boolean isStillAllowed() {
+    DocumentIndex current = context.state.document();
+    if (current == null || current == document) {
+      return true;
+    }
+    SteeringRoute currentRoute = matchRoute(current);
+    if (currentRoute == null) {
+      refuse(RefusalReason.NO_ROUTE, "the route was removed while the request waited");
+      return false;
+    }
+    if (!CallerAdmission.isKeyValid(current, currentRoute, caller.key(), workspace)) {
+      refuse(RefusalReason.BAD_KEY, "the key was withdrawn while the request waited");
+      return false;
+    }
+    document = current;
+    route = currentRoute;
+    return true;
+  }
+
+  private @Nullable SteeringRoute matchRoute(DocumentIndex index) {
+    String path = request.getHttpURI().getPath();
+    String host = request.getHttpURI().getHost();
+    return path == null || host == null ? null : index.route(host.toLowerCase(Locale.ROOT), path);
+  }
+
   private Outcome choose(DocumentIndex index, SteeringRoute matchedRoute, ServiceTargets targets) {
     String objectKey = caller.objectKey();
     boolean namesObject = objectKey != null;
@@ -455,7 +491,7 @@
       return false;
     }
     inFlightAttempts.abortOthers(attempt, "another target responded");
-    channel.begin(status, fields);
+    channel.beginStream(status, fields);
     return true;
   }
 
@@ -466,13 +502,22 @@
 
   /**
    * Refuses the request, as TARGET_FAILED if it may have run and the reason guarantees otherwise.
+   *
+   * <p>A response that is being streamed is broken off instead: text added to it would make it look
+   * complete.
    */
   private void refuse(RefusalReason requested, String reason) {
     RefusalReason refusal = requested;
     if (requested.guaranteesNotRun() && mayHaveRun) {
       refusal = RefusalReason.TARGET_FAILED;
     }
-    if (channel.finish()) {
+    if (!channel.finish()) {
+      return;
+    }
+    if (channel.isStreaming()) {
+      recordOutcome(0, "broken-off", reason, true);
+      channel.abortResponse(reason);
+    } else {
       recordOutcome(refusal.status(), refusal.name(), reason, true);
       channel.refuse(refusal, refusal.guaranteesNotRun() ? retryAfter() : null);
     }
--- a/steering/src/main/java/verbenahatch/steering/EntryServer.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryServer.java
@@ -23,6 +23,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
+import verbenahatch.http.WatchedConnectionFactory;
 import verbenahatch.kernel.Json;
 import verbenahatch.kernel.Kernel;
 import verbenahatch.steering.feed.FeedPublisher;
@@ -113,7 +114,7 @@
     http.setRequestHeaderSize(INITIAL_MAX_HEADER_BYTES);
     http.setResponseHeaderSize(INITIAL_MAX_HEADER_BYTES);
     ServerConnector connector =
-        new ServerConnector(server, null, timer, null, 0, 1, new HttpConnectionFactory(http));
+        new ServerConnector(server, null, timer, null, 0, 1, new WatchedConnectionFactory(http));
     int colon = address.lastIndexOf(':');
     connector.setHost(address.substring(0, colon));
     connector.setPort(Integer.parseInt(address.substring(colon + 1)));
@@ -149,7 +150,7 @@
           Callback.from(callback, context.requestsInFlight::decrementAndGet);
       try {
         new EntryExchange(context, request, response, countingCallback).start();
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | Error e) {
         state.events.log(SteeringEvent.TASK_FAILED, "request", e.toString());
         countingCallback.failed(e);
       }
@@ -226,10 +227,19 @@
     return context.requestsInFlight.get();
   }
 
-  /** Refuses new requests as not run and accepts no further connections. */
+  /**
+   * Refuses new requests as not run.
+   *
+   * <p>Connections are accepted further: closing the port or idle connections would reset requests
+   * that their callers have sent already and that could still get this refusal.
+   */
   void refuseNewRequests() {
     context.refusingNewRequests = true;
-    callerConnector.shutdown();
+  }
+
+  /** Accepts no further connections from callers. */
+  void stopAccepting() {
+    callerConnector.close();
   }
 
   /**
--- a/steering/src/main/java/verbenahatch/steering/PeerLink.java
+++ b/steering/src/main/java/verbenahatch/steering/PeerLink.java
@@ -68,7 +68,7 @@
   private void sendPeriodically() {
     try {
       sendHeartbeat();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       state.events.log(SteeringEvent.TASK_FAILED, "beat", e.toString());
     }
     group.schedule(this::sendPeriodically, delayMillis(), TimeUnit.MILLISECONDS);
@@ -152,7 +152,7 @@
   private void reportPeriodically() {
     try {
       state.quotas.sendReports();
-    } catch (RuntimeException e) {
+    } catch (RuntimeException | Error e) {
       state.events.log(SteeringEvent.TASK_FAILED, "report", e.toString());
     }
     runAfter(Admission.reportIntervalMillis(), this::reportPeriodically);
--- a/steering/src/main/java/verbenahatch/steering/SteeringHost.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringHost.java
@@ -28,6 +28,9 @@
   /** Time reserved for closing before the platform kills the process. */
   private static final long KILL_MARGIN_MILLIS = 400;
 
+  /** Time for requests that arrived while the port was closed to get their refusal. */
+  private static final long LAST_REFUSALS_MILLIS = 100;
+
   private static final int INCARNATION_BYTES = 6;
 
   private final Kernel kernel;
@@ -81,7 +84,7 @@
         TimeUnit.MILLISECONDS.sleep(TICK.toMillis());
       } catch (InterruptedException e) {
         return;
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | Error e) {
         state.events.log(SteeringEvent.TASK_FAILED, "maintenance", e.toString());
       }
     }
@@ -125,11 +128,14 @@
     state.leave();
     peers.sendHeartbeatNow();
     state.deregister();
-    TimeUnit.MILLISECONDS.sleep(SERVE_AFTER_STOP_MILLIS);
+    long stopMillis = settings.bounds().stopMillis();
+    long serveMillis = Math.min(SERVE_AFTER_STOP_MILLIS, stopMillis / 2);
+    TimeUnit.MILLISECONDS.sleep(serveMillis);
     server.refuseNewRequests();
-    long remainingMillis =
-        settings.bounds().stopMillis() - SERVE_AFTER_STOP_MILLIS - KILL_MARGIN_MILLIS;
-    server.awaitIdle(Math.max(0, remainingMillis));
+    server.awaitIdle(Math.max(0, stopMillis - serveMillis - KILL_MARGIN_MILLIS));
+    server.stopAccepting();
+    TimeUnit.MILLISECONDS.sleep(LAST_REFUSALS_MILLIS);
+    server.awaitIdle(LAST_REFUSALS_MILLIS);
     closed = true;
     state.events.log(SteeringEvent.STOPPED, settings.host(), server.runningRequests());
     maintenance.interrupt();
--- a/steering/src/main/java/verbenahatch/steering/TargetPool.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetPool.java
@@ -28,6 +28,9 @@
   /** Longest idle time of connections for requests that are not idempotent. */
   private static final long NON_IDEMPOTENT_IDLE_MILLIS = 4_500;
 
+  /** Longest head or trailer of a response in bytes; a faulty target may send one without end. */
+  private static final int MAX_RESPONSE_HEAD_BYTES = 64 * 1024;
+
   private static final int MAX_CONNECTIONS_PER_TARGET = 64;
 
   private static final int MAX_QUEUED_PER_TARGET = 64;
@@ -57,6 +60,7 @@
     client.setHttpCookieStore(new HttpCookieStore.Empty());
     client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
     client.setIdleTimeout(idleMillis);
+    client.setMaxResponseHeadersSize(MAX_RESPONSE_HEAD_BYTES);
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS_PER_TARGET);
     client.setMaxRequestsQueuedPerDestination(MAX_QUEUED_PER_TARGET);
     client.start();
--- a/steering/src/main/java/verbenahatch/steering/feed/Follower.java
+++ b/steering/src/main/java/verbenahatch/steering/feed/Follower.java
@@ -227,7 +227,7 @@
         if (!(listDue ? list() : watch())) {
           pause();
         }
-      } catch (RuntimeException e) {
+      } catch (RuntimeException | Error e) {
         events.log(SteeringEvent.TASK_FAILED, "follow-" + kind, e.toString());
         pause();
       }
