Refuse heartbeats with unusable fields

Cause: a heartbeat whose peer address could not be parsed made each later sending of heartbeats fail, to all hosts; one with a host name made the sending thread look it up; one with an unusable address for callers was listed in the directory.

--- a/steering/src/main/java/verbenahatch/steering/PeerLink.java
+++ b/steering/src/main/java/verbenahatch/steering/PeerLink.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.kernel.Hashing;
+import verbenahatch.peer.generated.HostBeat;
 import verbenahatch.peer.generated.PeerDatagram;
 import verbenahatch.steering.model.SteeringSettings;
 import verbenahatch.steering.quota.Admission;
@@ -128,20 +129,20 @@
 
   private void send(Set<String> addresses, byte[] bytes) {
     for (String address : addresses) {
-      channel.write(packet(address, bytes));
+      InetSocketAddress receiver = PeerAddress.parse(address);
+      if (receiver != null) {
+        channel.write(new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver));
+      }
     }
   }
 
   @Override
   public void send(String address, PeerDatagram datagram) {
-    channel.writeAndFlush(packet(address, datagram.toByteArray()));
-  }
-
-  private static DatagramPacket packet(String address, byte[] bytes) {
-    int colon = address.lastIndexOf(':');
-    int port = Integer.parseInt(address.substring(colon + 1));
-    InetSocketAddress receiver = new InetSocketAddress(address.substring(0, colon), port);
-    return new DatagramPacket(Unpooled.wrappedBuffer(bytes), receiver);
+    InetSocketAddress receiver = PeerAddress.parse(address);
+    if (receiver != null) {
+      channel.writeAndFlush(
+          new DatagramPacket(Unpooled.wrappedBuffer(datagram.toByteArray()), receiver));
+    }
   }
 
   @Override
@@ -178,6 +179,10 @@
           state.quotas.receive(datagram, sender.getHostString() + ":" + sender.getPort());
           return;
         }
+        if (!isUsable(datagram.getBeat())) {
+          state.events.log(SteeringEvent.BEAT_REFUSED, packet.sender(), "unusable fields");
+          return;
+        }
         byte[] ownHeartbeat = lastHeartbeat;
         if (state.hosts.receive(datagram.getBeat()) && ownHeartbeat != null) {
           // Replies at once, so that a process that has just started knows a host it may ask.
@@ -189,6 +194,13 @@
       }
     }
 
+    private static boolean isUsable(HostBeat heartbeat) {
+      return !heartbeat.getHost().isEmpty()
+          && !heartbeat.getRegion().isEmpty()
+          && PeerAddress.parse(heartbeat.getPeerAddress()) != null
+          && PeerAddress.parse(heartbeat.getCallersAddress()) != null;
+    }
+
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
       // The channel stays open, because this may only report an unreachable peer.
