Learn processing times from few requests

Cause: each of many hosts sees few requests and rarely the same object twice, and only requests of known objects counted. A first visit also counted its target as slow. Change: ProcessingTimes assigns each time to the nearer of two estimates; first times count fully.

--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -345,7 +345,7 @@
     double millis = (now - attempt.startNanos) / 1e6;
     boolean failed = completion.status() >= HttpStatus.INTERNAL_SERVER_ERROR_500;
     ServiceTargets targets = requireService();
-    boolean slow = millis > targets.coldMillis() * SLOW_VERSION_FACTOR;
+    boolean slow = millis > targets.times.coldMillis() * SLOW_VERSION_FACTOR;
     boolean countsAsBad = failed || (slow && !target.isCold(now));
     context.state.releases.record(
         targets.name, requireRoute().name(), target.record().version(), countsAsBad);
@@ -368,11 +368,15 @@
         target.recentObjects.add(objectHash);
       }
       double workMillis = Math.max(millis - attempt.choice.waitMillis(), millis * 0.2);
-      boolean cold = attempt.choice.cacheState() == CacheState.COLD;
-      double expectedMillis = cold ? targets.coldMillis() : targets.warmMillis();
+      CacheState cacheState = attempt.choice.cacheState();
+      // Only a target that is known to have the object is slow if it takes longer than a warm one.
+      double expectedMillis =
+          cacheState == CacheState.WARM
+              ? targets.times.warmMillis()
+              : targets.times.nearestMillis(workMillis);
       target.recordSuccess(workMillis / Math.max(1, expectedMillis), now);
       if (!target.isCold(now)) {
-        targets.recordDuration(attempt.choice.cacheState(), workMillis);
+        targets.times.record(cacheState, workMillis);
       }
     }
     deliver(attempt, completion);
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -342,16 +342,17 @@
       return null;
     }
     ServiceTargets service = criteria.service;
-    double extraForCold = service.coldMillis() - service.warmMillis();
-    double work = service.warmMillis() + extraForCold * cacheState.coldFraction();
+    double warmMillis = service.times.warmMillis();
+    double extraForCold = service.times.coldMillis() - warmMillis;
+    double work = warmMillis + extraForCold * cacheState.coldFraction();
     work *= target.slowness(now);
     if (target.isCold(now)) {
       work *= COLD_TARGET_FACTOR;
     }
     double queued = Math.max(0, load + 1 - slots);
-    double wait = queued / slots * service.warmMillis() * target.slowness(now);
+    double wait = queued / slots * warmMillis * target.slowness(now);
     double utilization = Math.min(1, load / slots);
-    double crowding = CROWDING_WEIGHT * service.warmMillis() * Math.pow(utilization, 4);
+    double crowding = CROWDING_WEIGHT * warmMillis * Math.pow(utilization, 4);
     double expected = work + wait + crowding + FAILURE_MILLIS * target.failureRate(now);
     if (cacheState == CacheState.LIKELY_WARM && wait == 0 && isDueFirstRequest(target, now)) {
       expected = 0;
