--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -375,7 +375,8 @@
               ? targets.times.warmMillis()
               : targets.times.nearestMillis(workMillis);
       target.recordSuccess(workMillis / Math.max(1, expectedMillis), now);
-      if (!target.isCold(now)) {
+      // Requests that name no object, for example probes of a route, may do no work at all.
+      if (!target.isCold(now) && caller.objectKey() != null) {
         targets.times.record(cacheState, workMillis);
       }
     }
