Adopt the workspace of a key from the document in force when a request waited

Cause, found on reading: a route that was open when its request arrived and needs a key by the time the request is sent refused a valid key with 401, and a key that had moved to another workspace too. Change: the key is looked up in the document in force, and its workspace is used.

--- a/steering/src/main/java/verbenahatch/steering/CallerAdmission.java
+++ b/steering/src/main/java/verbenahatch/steering/CallerAdmission.java
@@ -61,23 +61,14 @@
   }
 
   /**
-   * Returns whether a key still belongs to the workspace for which its request was admitted.
+   * Returns whether a document allows requests of a route with a key.
    *
-   * @param index the document in force now
+   * @param index the document
    * @param route the route of the request in that document
    * @param key the key of the request, null if it has none
-   * @param admitted the workspace of the request at its admission, null if the route needed no key
    */
-  static boolean isKeyValid(
-      DocumentIndex index,
-      SteeringRoute route,
-      @Nullable String key,
-      @Nullable SteeringWorkspace admitted) {
-    if (!index.needsKeys() || route.open()) {
-      return true;
-    }
-    SteeringWorkspace current = key == null ? null : index.workspace(key);
-    return current != null && admitted != null && current.name().equals(admitted.name());
+  static boolean isKeyValid(DocumentIndex index, SteeringRoute route, @Nullable String key) {
+    return !index.needsKeys() || route.open() || (key != null && index.workspace(key) != null);
   }
 
   private void onDecisionInExecutor(
--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -196,12 +196,14 @@
       refuse(RefusalReason.NO_ROUTE, "the route was removed while the request waited");
       return false;
     }
-    if (!CallerAdmission.isKeyValid(current, currentRoute, caller.key(), workspace)) {
+    String key = caller.key();
+    if (!CallerAdmission.isKeyValid(current, currentRoute, key)) {
       refuse(RefusalReason.BAD_KEY, "the key was withdrawn while the request waited");
       return false;
     }
     document = current;
     route = currentRoute;
+    workspace = key == null || currentRoute.open() ? null : current.workspace(key);
     return true;
   }
 
