--- a/steering/src/main/java/verbenahatch/steering/SteeringHost.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringHost.java
@@ -25,6 +25,9 @@
    */
   private static final long SERVE_AFTER_STOP_MILLIS = 3_500;
 
+  /** Fraction of a short grace period in which new requests are served. */
+  private static final double MAX_SERVE_FRACTION = 0.8;
+
   /** Time reserved for closing before the platform kills the process. */
   private static final long KILL_MARGIN_MILLIS = 400;
 
@@ -129,7 +132,7 @@
     peers.sendHeartbeatNow();
     state.deregister();
     long stopMillis = settings.bounds().stopMillis();
-    long serveMillis = Math.min(SERVE_AFTER_STOP_MILLIS, stopMillis / 2);
+    long serveMillis = Math.min(SERVE_AFTER_STOP_MILLIS, (long) (stopMillis * MAX_SERVE_FRACTION));
     TimeUnit.MILLISECONDS.sleep(serveMillis);
     server.refuseNewRequests();
     server.awaitIdle(Math.max(0, stopMillis - serveMillis - KILL_MARGIN_MILLIS));
