--- a/review/standins/ChangedPath.java
+++ b/review/standins/ChangedPath.java
@@ -12,7 +12,9 @@
     Thread.sleep(1_000);
     String[] paths =
         Cluster.TROUBLE
-            ? new String[] {"//shop-7/orders/2f", "//orders/2f?copy=1", "///orders/2f", "/orders//2f"}
+            ? new String[] {
+              "//shop-7/orders/2f", "//orders/2f?copy=1", "///orders/2f", "/orders//2f"
+            }
             : new String[] {"/shop-7/orders/2f", "/orders/2f?copy=1", "/orders/2f", "/orders//2f"};
     int broken = 0;
     int run = 0;
@@ -26,8 +28,16 @@
       run += ran == null ? 0 : 1;
       broken += changed ? 1 : 0;
       cluster.note(
-          "request " + sent.id + ": client sent POST " + path + ", instance "
-              + (ran == null ? "-" : ran.instance) + " ran " + seen + ", answer " + sent.status
+          "request "
+              + sent.id
+              + ": client sent POST "
+              + path
+              + ", instance "
+              + (ran == null ? "-" : ran.instance)
+              + " ran "
+              + seen
+              + ", answer "
+              + sent.status
               + (changed ? "  CHANGED" : ""));
     }
     cluster.note(broken + " of " + run + " requests that ran had another path");
--- a/review/standins/Client.java
+++ b/review/standins/Client.java
@@ -31,7 +31,10 @@
   static List<String> resolve(String directory, String region, String zone) throws IOException {
     try (Socket socket = connect(directory, 1_000)) {
       String head =
-          "GET /resolve?name=orders.example&region=" + region + "&zone=" + zone
+          "GET /resolve?name=orders.example&region="
+              + region
+              + "&zone="
+              + zone
               + " HTTP/1.1\r\nHost: orders.example\r\nConnection: close\r\n\r\n";
       socket.getOutputStream().write(head.getBytes(StandardCharsets.US_ASCII));
       Http.Message answer = Http.read(new BufferedInputStream(socket.getInputStream()), false);
@@ -60,19 +63,29 @@
 
   /** Sends a request with a body and waits for its end. */
   static Sent send(String front, String method, String path, long deadlineMillis, byte[] body) {
+    return sendAndWait(front, method, path, deadlineMillis, deadlineMillis, body);
+  }
+
+  /** The same, but waits longer than the deadline that the request names. */
+  static Sent sendAndWait(
+      String front, String method, String path, long deadlineMillis, long waitMillis, byte[] body) {
     Sent sent = new Sent();
     sent.front = front;
     sent.line = method + " " + path;
     sent.sentNanos = System.nanoTime();
     try (Socket socket = connect(front, 1_000)) {
-      socket.setSoTimeout((int) deadlineMillis);
+      socket.setSoTimeout((int) waitMillis);
       String head =
-          method + " " + path + " HTTP/1.1\r\nHost: orders.example\r\n"
+          method
+              + " "
+              + path
+              + " HTTP/1.1\r\nHost: orders.example\r\n"
               + ("Verbenahatch-Request-Id: " + sent.id + "\r\n")
               + ("Verbenahatch-Deadline-Ms: " + deadlineMillis + "\r\n")
               + (body == null ? "\r\n" : "Content-Length: " + body.length + "\r\n\r\n");
       byte[] headBytes = head.getBytes(StandardCharsets.US_ASCII);
-      byte[] all = java.util.Arrays.copyOf(headBytes, headBytes.length + (body == null ? 0 : body.length));
+      byte[] all =
+          java.util.Arrays.copyOf(headBytes, headBytes.length + (body == null ? 0 : body.length));
       if (body != null) {
         System.arraycopy(body, 0, all, headBytes.length, body.length);
       }
--- a/review/standins/Cluster.java
+++ b/review/standins/Cluster.java
@@ -44,7 +44,8 @@
     System.out.println(line);
   }
 
-  void route(String name, String prefix, String kind, String timeout, String service, int attempts) {
+  void route(
+      String name, String prefix, String kind, String timeout, String service, int attempts) {
     ObjectNode entry = resource("routes", name);
     entry
         .put("host", "orders.example")
@@ -106,8 +107,14 @@
     for (int i = 0; i < count; i++) {
       instances.add(
           new Instance(
-              "i-" + service + i, service, net + (100 + instances.size()), zone(i), slots, store,
-              runs, work));
+              "i-" + service + i,
+              service,
+              net + (100 + instances.size()),
+              zone(i),
+              slots,
+              store,
+              runs,
+              work));
     }
   }
 
@@ -176,7 +183,9 @@
     }
   }
 
-  /** Starts all processes and waits until they are ready; ends with 2 if they don't become ready. */
+  /**
+   * Starts all processes and waits until they are ready; ends with 2 if they don't become ready.
+   */
   void startAll() throws Exception {
     for (Daemon daemon : daemons) {
       daemon.start();
--- a/review/standins/Http.java
+++ b/review/standins/Http.java
@@ -39,7 +39,8 @@
     Map<String, String> fields = new TreeMap<>();
     for (String line = line(in, false); !line.isEmpty(); line = line(in, false)) {
       int colon = line.indexOf(':');
-      fields.put(line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
+      fields.put(
+          line.substring(0, colon).toLowerCase(Locale.ROOT), line.substring(colon + 1).trim());
     }
     ByteArrayOutputStream kept = new ByteArrayOutputStream();
     long length = 0;
--- a/review/standins/Instance.java
+++ b/review/standins/Instance.java
@@ -6,7 +6,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.util.Map;
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
--- a/review/standins/RefusedAfterFreeze.java
+++ b/review/standins/RefusedAfterFreeze.java
@@ -52,9 +52,7 @@
         cluster.note("round " + round + ": " + daemon.name + " is suspended");
       }
       for (Pending request : pending) {
-        write(
-            request.socket,
-            "Verbenahatch-Deadline-Ms: 6000\r\nContent-Length: 5\r\n\r\norder");
+        write(request.socket, "Verbenahatch-Deadline-Ms: 6000\r\nContent-Length: 5\r\n\r\norder");
       }
       if (Cluster.TROUBLE) {
         Thread.sleep(FREEZE_MILLIS);
@@ -73,8 +71,13 @@
           if (cluster.runCount(request.id) > 0) {
             broken++;
             cluster.note(
-                "request " + request.id + " (unsafe): answered " + end + ", and ran at "
-                    + cluster.runOf(request.id).instance + " at "
+                "request "
+                    + request.id
+                    + " (unsafe): answered "
+                    + end
+                    + ", and ran at "
+                    + cluster.runOf(request.id).instance
+                    + " at "
                     + cluster.seconds(cluster.runOf(request.id).startNanos));
           }
         }
--- a/review/standins/StopCutsSilentInstance.java
+++ b/review/standins/StopCutsSilentInstance.java
@@ -6,8 +6,8 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * LOST: after a SIGTERM a process breaks off an upload after 4.5 s without bytes from its
- * instance, which is at work, and answers 502 itself.
+ * LOST: after a SIGTERM a process breaks off an upload after 4.5 s without bytes from its instance,
+ * which is at work, and answers 502 itself.
  */
 final class StopCutsSilentInstance {
   private static final long GRACE_MILLIS = 6_000;
@@ -62,8 +62,14 @@
           String.format(
               "upload %s sent %.3f s before the stop: %s %d after %.0f ms, its instance had worked"
                   + " %.0f of %d ms%s",
-              sent.id, (termNanos - sent.sentNanos) / 1e9, sent.end, sent.status, lasted, worked,
-              WORK_MILLIS, counts ? "  LOST" : ""));
+              sent.id,
+              (termNanos - sent.sentNanos) / 1e9,
+              sent.end,
+              sent.status,
+              lasted,
+              worked,
+              WORK_MILLIS,
+              counts ? "  LOST" : ""));
     }
     if (Cluster.TROUBLE) {
       boolean ended = daemon.process.waitFor(GRACE_MILLIS, TimeUnit.MILLISECONDS);
--- a/review/standins/StopWithSilentStore.java
+++ b/review/standins/StopWithSilentStore.java
@@ -30,7 +30,8 @@
         60,
         4,
         request ->
-            (int) (WORK_MILLIS * Math.exp(WORK_SPREAD * ThreadLocalRandom.current().nextGaussian())));
+            (int)
+                (WORK_MILLIS * Math.exp(WORK_SPREAD * ThreadLocalRandom.current().nextGaussian())));
     cluster.daemons(8);
     cluster.startAll();
     ConcurrentLinkedQueue<Client.Sent> all = new ConcurrentLinkedQueue<>();
@@ -88,7 +89,8 @@
       double sentSeconds = (sent.sentNanos - termNanos) / 1e9;
       double endSeconds = (sent.endNanos - termNanos) / 1e9;
       double lasted = (sent.endNanos - sent.sentNanos) / 1e6;
-      boolean planned = sentSeconds >= -TIMEOUT_MILLIS / 1e3 && endSeconds <= GRACE_MILLIS / 1e3 + 1;
+      boolean planned =
+          sentSeconds >= -TIMEOUT_MILLIS / 1e3 && endSeconds <= GRACE_MILLIS / 1e3 + 1;
       boolean timedOut = lasted >= TIMEOUT_MILLIS;
       boolean excused = sentSeconds <= 3 && endSeconds >= GRACE_MILLIS * 5 / 6 / 1e3;
       boolean counts = endSeconds > 0 && planned && !timedOut && !excused;
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -218,8 +218,7 @@
             equals < 0 ? pair : pair.substring(0, equals),
             equals < 0
                 ? ""
-                : java.net.URLDecoder.decode(
-                    pair.substring(equals + 1), StandardCharsets.UTF_8));
+                : java.net.URLDecoder.decode(pair.substring(equals + 1), StandardCharsets.UTF_8));
       }
     }
     return values;
--- a/review/standins/UploadsExceedMemory.java
+++ b/review/standins/UploadsExceedMemory.java
@@ -98,8 +98,12 @@
     int broken = 0;
     for (int i = 0; i < used.size(); i++) {
       cluster.note(
-          used.get(i).name + ": most memory " + highest[i] / 1024 + " MB, killed for it "
-              + kills.get(i) + " times");
+          used.get(i).name
+              + ": most memory "
+              + highest[i] / 1024
+              + " MB, killed for it "
+              + kills.get(i)
+              + " times");
       broken += kills.get(i) >= WAVES ? 1 : 0;
     }
     cluster.note(broken + " of 4 machines had processes over the limit " + WAVES + " times");
@@ -149,8 +153,7 @@
         threads.submit(
             () ->
                 orders.add(
-                    Client.send(
-                        daemon.front, "POST", "/orders/1", 6_000, "order".getBytes())));
+                    Client.send(daemon.front, "POST", "/orders/1", 6_000, "order".getBytes())));
         Thread.sleep(100);
       }
     } catch (InterruptedException e) {
@@ -180,7 +183,9 @@
       OutputStream out = socket.getOutputStream();
       String head =
           "POST /uploads/1 HTTP/1.1\r\nHost: orders.example\r\nVerbenahatch-Request-Id: "
-              + sent.id + "\r\nVerbenahatch-Deadline-Ms: " + DEADLINE_MILLIS
+              + sent.id
+              + "\r\nVerbenahatch-Deadline-Ms: "
+              + DEADLINE_MILLIS
               + "\r\nTransfer-Encoding: chunked\r\n\r\n";
       out.write(head.getBytes(StandardCharsets.US_ASCII));
       byte[] part = new byte[64 * 1024];
