Decide once whether a request is dispatched or its connection timed out

Cause: HeaderTimeout ran on a timer thread, read the state of the parser without synchronization with the thread that reads from the connection, and wrote 408 past the HTTP library. After a suspension both threads continue at the same moment; the request was dispatched while or after 408 was written.

Change: each connection has a DispatchGate. The handler claims a request there, and the timeout is set there by compare-and-set with the number of requests dispatched when the header was found incomplete, so exactly one of the two succeeds.

--- a/http/src/main/java/verbenahatch/http/WatchedConnectionFactory.java
+++ b/http/src/main/java/verbenahatch/http/WatchedConnectionFactory.java
@@ -5,8 +5,12 @@
 import org.eclipse.jetty.server.Connector;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
+import org.eclipse.jetty.util.Attributes;
 
-/** Creates HTTP/1.1 connections on which {@link CallerWatch} can detect a disconnect. */
+/**
+ * Creates HTTP/1.1 connections on which {@link CallerWatch} can detect a disconnect and whose
+ * requests pass a {@link DispatchGate}.
+ */
 public final class WatchedConnectionFactory extends HttpConnectionFactory {
 
   /**
@@ -20,6 +24,11 @@
 
   @Override
   public Connection newConnection(Connector connector, EndPoint endPoint) {
-    return super.newConnection(connector, new ReadAheadEndPoint(endPoint, connector.getExecutor()));
+    Connection connection =
+        super.newConnection(connector, new ReadAheadEndPoint(endPoint, connector.getExecutor()));
+    if (connection instanceof Attributes attributes) {
+      new DispatchGate().attach(attributes);
+    }
+    return connection;
   }
 }
--- a/steering/src/main/java/verbenahatch/steering/EntryServer.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryServer.java
@@ -12,6 +12,7 @@
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.QuietException;
 import org.eclipse.jetty.server.Handler;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.HttpConnectionFactory;
@@ -23,6 +24,7 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
+import verbenahatch.http.DispatchGate;
 import verbenahatch.http.WatchedConnectionFactory;
 import verbenahatch.kernel.Json;
 import verbenahatch.kernel.Kernel;
@@ -145,6 +147,14 @@
     }
 
     private void serve(Request request, Response response, Callback callback) {
+      DispatchGate gate = DispatchGate.of(request.getConnectionMetaData());
+      if (gate != null && !gate.tryDispatch()) {
+        // The caller was told that the request timed out and may repeat it.
+        QuietException.Exception cause = new QuietException.Exception("the header timed out");
+        request.getConnectionMetaData().getConnection().getEndPoint().close(cause);
+        callback.failed(cause);
+        return;
+      }
       context.requestsInFlight.incrementAndGet();
       Callback countingCallback =
           Callback.from(callback, context.requestsInFlight::decrementAndGet);
--- a/steering/src/test/java/verbenahatch/steering/HeaderTimeoutTest.java
+++ b/steering/src/test/java/verbenahatch/steering/HeaderTimeoutTest.java
@@ -8,6 +8,7 @@
 import java.nio.charset.StandardCharsets;
 import java.time.Duration;
 import org.eclipse.jetty.server.Handler;
+import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
@@ -16,6 +17,7 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import verbenahatch.http.WatchedConnectionFactory;
 import verbenahatch.kernel.ManualClock;
 
 /** Guards against callers that hold a connection indefinitely with an incomplete header. */
@@ -26,7 +28,8 @@
   private final ManualClock clock = new ManualClock();
   private final HeaderTimeout timeout = new HeaderTimeout(clock);
   private final Server server = new Server();
-  private final ServerConnector connector = new ServerConnector(server);
+  private final ServerConnector connector =
+      new ServerConnector(server, new WatchedConnectionFactory(new HttpConfiguration()));
 
   @BeforeEach
   void start() throws Exception {
@@ -81,6 +84,29 @@
     }
   }
 
+  /**
+   * After a pause of the process a header whose rest had arrived in time was answered 408, and some
+   * of those requests ran nevertheless (review/1).
+   */
+  @Test
+  void servesRequestWhoseHeaderWasCompletedDuringPause() throws Exception {
+    try (Socket socket = connect("GET / HTTP/1.1\r\nHost: a\r\n")) {
+      for (int i = 0; i < 20; i++) {
+        assertEquals(0, check());
+        // Lets the server read the first part, so that its header is known to be incomplete.
+        Thread.sleep(10);
+      }
+      clock.advance(Duration.ofMillis(TIMEOUT_MILLIS + 500));
+      assertEquals(0, check());
+      socket.getOutputStream().write("\r\n".getBytes(StandardCharsets.US_ASCII));
+      assertEquals('H', socket.getInputStream().read());
+      String response = new String(socket.getInputStream().readNBytes(11), StandardCharsets.US_ASCII);
+      assertEquals("TTP/1.1 200", response);
+      clock.advance(Duration.ofMillis(TIMEOUT_MILLIS));
+      assertEquals(0, check());
+    }
+  }
+
   @Test
   void keepsIdleConnectionsOpen() throws Exception {
     try (Socket socket = connect("GET / HTTP/1.1\r\nHost: a\r\n\r\n")) {
