Wait for a target that works without sending bytes

Cause: the idle timeout of the client's pool (4.5 s for requests that may run once, 7 s for others) is meant for connections between requests, but the library applies it to a connection in use, too.

Change: requests have no idle timeout; their own timeout bounds them, and TCP keep-alive probes still end a connection whose path is lost. The client of the gateway (15 s) had the same cause for longer requests.

FaultyTargetTest.targetThatWorksInSilenceIsWaitedFor failed before with 502 for both kinds of request and passes now.

--- a/gateway/src/main/java/verbenahatch/gateway/Attempt.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Attempt.java
@@ -72,6 +72,8 @@
             .method(callerRequest.getMethod())
             .path(pathAndQuery(callerRequest))
             .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
+            // The idle timeout of the client is for connections between requests.
+            .idleTimeout(0, TimeUnit.MILLISECONDS)
             .headers(headers -> writeHeaders(callerRequest, headers, ownConnection));
     CallerContent content = exchange.content();
     if (content != null) {
--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -117,6 +117,9 @@
             .method(message.method)
             .path(message.uri.getPathQuery())
             .timeout(message.timeoutMillis, TimeUnit.MILLISECONDS)
+            // The idle timeout of the pool is for connections between requests; the library would
+            // also end a request whose target works for that long without sending bytes.
+            .idleTimeout(0, TimeUnit.MILLISECONDS)
             .headers(
                 headers -> {
                   headers.clear();
