Count the times of a stop from the signal and do not wait for the store

Change: StopPlan holds all times of a stop, counted from the arrival of the signal, also if it arrives during a slow start. The maintenance thread removes the record and repeats the call until the process ends.

Requests that arrive more than 3 s after the signal are accepted only if their timeout ends before the process does, and refused as not run otherwise.

--- a/steering/src/main/java/verbenahatch/steering/EntryContext.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryContext.java
@@ -5,6 +5,7 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.jspecify.annotations.Nullable;
 import verbenahatch.routing.RetryBudget;
 import verbenahatch.steering.model.WireProtocol;
 
@@ -30,7 +31,10 @@
   final RequestLog requestLog;
   final AtomicInteger requestsInFlight = new AtomicInteger();
   final AtomicLong bodyMemory = new AtomicLong();
-  volatile boolean refusingNewRequests;
+
+  /** Decides which requests are accepted during a stop; null before. */
+  volatile @Nullable StopPlan stopPlan;
+
   private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
 
   EntryContext(
--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -70,7 +70,8 @@
   void start() {
     DocumentIndex index = context.state.document();
     document = index;
-    if (context.refusingNewRequests) {
+    StopPlan plan = context.stopPlan;
+    if (plan != null && !plan.accepts(startNanos, 0)) {
       refuse(RefusalReason.STOPPING, "stopping");
       return;
     }
@@ -95,6 +96,10 @@
       millis = Math.min(millis, caller.waitMillis());
     }
     deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(millis);
+    if (plan != null && !plan.accepts(startNanos, millis)) {
+      refuse(RefusalReason.STOPPING, "the request may not end before the process does");
+      return;
+    }
     new CallerAdmission(context, request, this).start(index, matchedRoute, caller.key());
   }
 
--- a/steering/src/main/java/verbenahatch/steering/EntryServer.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryServer.java
@@ -238,13 +238,13 @@
   }
 
   /**
-   * Refuses new requests as not run.
+   * Refuses new requests as not run from the time on that the plan of a stop gives.
    *
    * <p>Connections are accepted further: closing the port or idle connections would reset requests
    * that their callers have sent already and that could still get this refusal.
    */
-  void refuseNewRequests() {
-    context.refusingNewRequests = true;
+  void useStopPlan(StopPlan plan) {
+    context.stopPlan = plan;
   }
 
   /** Accepts no further connections from callers. */
--- a/steering/src/main/java/verbenahatch/steering/SteeringHost.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringHost.java
@@ -20,17 +20,6 @@
   /** Period of the allocation of quotas and of the checks on peers and releases. */
   private static final Duration TICK = Duration.ofMillis(250);
 
-  /**
-   * Time after SIGTERM for which new requests are served, until cached directory answers expire.
-   */
-  private static final long SERVE_AFTER_STOP_MILLIS = 3_500;
-
-  /** Fraction of a short grace period in which new requests are served. */
-  private static final double MAX_SERVE_FRACTION = 0.8;
-
-  /** Time reserved for closing before the platform kills the process. */
-  private static final long KILL_MARGIN_MILLIS = 400;
-
   /** Time for requests that arrived while the port was closed to get their refusal. */
   private static final long LAST_REFUSALS_MILLIS = 100;
 
@@ -118,24 +107,33 @@
     peers.useSeeds(changed.seeds());
   }
 
+  /** Stops gracefully like {@link #stop} with the current time. */
+  @Override
+  public void close() throws Exception {
+    stop(state.clock.nanoTime());
+  }
+
   /**
    * Stops gracefully: removes this host from the directory, serves until cached answers of the
    * directory expire, waits for requests in flight, and closes. Does nothing if already closed.
+   *
+   * <p>Nothing here waits for the store, which may be silent: the thread for maintenance removes
+   * this host's record.
+   *
+   * @param signalNanos when the stop was requested, in ns of the clock of the process
+   * @throws Exception if a resource cannot be closed
    */
-  @Override
-  public synchronized void close() throws Exception {
+  public synchronized void stop(long signalNanos) throws Exception {
     if (closed) {
       return;
     }
+    StopPlan plan = new StopPlan(signalNanos, settings.bounds().stopMillis());
     state.events.log(SteeringEvent.STOPPING, settings.host(), server.runningRequests());
     state.leave();
+    server.useStopPlan(plan);
     peers.sendHeartbeatNow();
-    state.deregister();
-    long stopMillis = settings.bounds().stopMillis();
-    long serveMillis = Math.min(SERVE_AFTER_STOP_MILLIS, (long) (stopMillis * MAX_SERVE_FRACTION));
-    TimeUnit.MILLISECONDS.sleep(serveMillis);
-    server.refuseNewRequests();
-    server.awaitIdle(Math.max(0, stopMillis - serveMillis - KILL_MARGIN_MILLIS));
+    TimeUnit.MILLISECONDS.sleep(plan.millisUntilRefusal(state.clock.nanoTime()));
+    server.awaitIdle(plan.millisUntilEnd(state.clock.nanoTime()));
     server.stopAccepting();
     TimeUnit.MILLISECONDS.sleep(LAST_REFUSALS_MILLIS);
     server.awaitIdle(LAST_REFUSALS_MILLIS);
--- a/steering/src/main/java/verbenahatch/steering/SteeringState.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringState.java
@@ -383,6 +383,9 @@
   /** Does the periodic work that writes to the store; runs on a thread that may block. */
   void maintain() {
     boolean isWriteDue = clock.nanoTime() - nextWriteNanos >= 0;
+    if (leaving) {
+      deregister();
+    }
     if (!registered && !leaving && isWriteDue && hostFeed.isReachable()) {
       nextWriteNanos = clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WRITE_PAUSE_MILLIS);
       HostRecord registeredRecord = hosts.registered(self.name());
@@ -404,10 +407,10 @@
     }
   }
 
-  /** Removes this host's record from the store before the process ends. */
-  void deregister() {
-    if (registered) {
-      confirmed("host/" + self.name(), store.removeHost(self.name()));
+  /** Removes this host's record from the store; a failed call is repeated in the next round. */
+  private void deregister() {
+    if (registered && confirmed("host/" + self.name(), store.removeHost(self.name()))) {
+      registered = false;
     }
   }
 
