Withdraw attempts before a refusal states that a request did not run

Cause: the deadline looked at whether the attempt had been sent and answered, while another thread was about to register or to begin the attempt.

Change: an attempt is either sent or withdrawn, decided by compare-and-set when the library begins to send it. A refusal first finishes the channel and then withdraws all attempts; if one was sent, the answer is 504 or 502. An attempt is registered before the channel is checked, so that one of the two threads sees the other. The same holds for callers that disconnect.

HostOnPlatformTest.requestRefusedAtItsDeadlineDoesNotRun failed before.

--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -131,9 +131,7 @@
   }
 
   private synchronized void onDeadline() {
-    TargetAttempt attempt = currentAttempt;
-    boolean sent = mayHaveRun || (attempt != null && attempt.isSent());
-    refuse(sent ? RefusalReason.TIMED_OUT : RefusalReason.EXPIRED, "the deadline passed");
+    refuse(RefusalReason.EXPIRED, RefusalReason.TIMED_OUT, "the deadline passed");
     inFlightAttempts.abortOthers(null, "the deadline passed");
   }
 
@@ -270,11 +268,14 @@
     choice.target().inFlight.incrementAndGet();
     choice.target().markUsed();
     currentAttempt = attempt;
+    // The attempt is added before the check: a refusal first finishes the channel and then
+    // withdraws what was added, so one of the two sees the other.
+    inFlightAttempts.add(attempt);
     if (channel.isFinished()) {
+      inFlightAttempts.remove(attempt);
       choice.target().inFlight.decrementAndGet();
       return;
     }
-    inFlightAttempts.add(attempt);
     attempt.send();
     long hedgeDelayMillis =
         RequestPolicy.hedgeDelayMillis(choice, matchedRoute, attempts, remaining);
@@ -514,18 +515,29 @@
 
   /**
    * Refuses the request, as TARGET_FAILED if it may have run and the reason guarantees otherwise.
+   */
+  private void refuse(RefusalReason requested, String reason) {
+    refuse(requested, RefusalReason.TARGET_FAILED, reason);
+  }
+
+  /**
+   * Refuses the request.
    *
    * <p>A response that is being streamed is broken off instead: text added to it would make it look
    * complete.
+   *
+   * @param requested the reason
+   * @param ifMayHaveRun the reason to give instead if the requested one guarantees that the request
+   *     did not run but an attempt may have reached its target
+   * @param reason the reason in words, for the log
    */
-  private void refuse(RefusalReason requested, String reason) {
-    RefusalReason refusal = requested;
-    if (requested.guaranteesNotRun() && mayHaveRun) {
-      refusal = RefusalReason.TARGET_FAILED;
-    }
+  private void refuse(RefusalReason requested, RefusalReason ifMayHaveRun, String reason) {
     if (!channel.finish()) {
       return;
     }
+    boolean reachesTarget = mayHaveRun || !inFlightAttempts.withdrawAll();
+    RefusalReason refusal =
+        requested.guaranteesNotRun() && reachesTarget ? ifMayHaveRun : requested;
     if (channel.isStreaming()) {
       recordOutcome(0, "broken-off", reason, true);
       channel.abortResponse(reason);
--- a/steering/src/main/java/verbenahatch/steering/InFlightAttempts.java
+++ b/steering/src/main/java/verbenahatch/steering/InFlightAttempts.java
@@ -41,11 +41,24 @@
     }
   }
 
+  /**
+   * Withdraws all attempts that are not being sent yet.
+   *
+   * @return true if none of the attempts reaches its target
+   */
+  boolean withdrawAll() {
+    boolean allWithdrawn = true;
+    for (TargetAttempt attempt : attempts) {
+      allWithdrawn &= attempt.withdraw();
+    }
+    return allWithdrawn;
+  }
+
   /** Aborts the attempts of a disconnected caller, except sent ones that are not idempotent. */
   void abortOnDisconnect(boolean idempotent, String reason) {
     for (TargetAttempt attempt : attempts) {
       // A request that is not idempotent continues, so that its effect is not left incomplete.
-      if (idempotent || !attempt.isSent()) {
+      if (idempotent || attempt.withdraw()) {
         attempt.abort(reason);
       }
     }
--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.client.BytesRequestContent;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
@@ -81,13 +82,20 @@
   private final String requestId;
   private final Listener listener;
   private final Request request;
+  private final AtomicReference<Progress> progress = new AtomicReference<>(Progress.NOT_SENT);
   private final AtomicBoolean completed = new AtomicBoolean();
   private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
-  private volatile boolean sent;
   private volatile boolean streaming;
   private volatile boolean aborted;
   private volatile @Nullable String rejectionReason;
 
+  /** Tells whether the request may reach the target; only NOT_SENT changes to another value. */
+  private enum Progress {
+    NOT_SENT,
+    SENT,
+    WITHDRAWN
+  }
+
   /** Holds the request to send. */
   @SuppressWarnings("ArrayRecordComponent")
   record Message(
@@ -141,14 +149,28 @@
 
   void send() {
     request
-        .onRequestBegin(begun -> sent = true)
+        .onRequestBegin(begun -> beginSending())
         .onResponseHeaders(this::validate)
         .onResponseContentAsync(this::onContent)
         .send(this::complete);
   }
 
-  boolean isSent() {
-    return sent;
+  private void beginSending() {
+    if (!progress.compareAndSet(Progress.NOT_SENT, Progress.SENT)
+        && progress.get() == Progress.WITHDRAWN) {
+      // The library sends nothing of a request that is aborted before its first byte.
+      request.abort(new IOException("withdrawn before it was sent"));
+    }
+  }
+
+  /**
+   * Withdraws the request unless it is being sent already.
+   *
+   * @return true if certainly no byte of it reaches the target, now or later
+   */
+  boolean withdraw() {
+    return progress.compareAndSet(Progress.NOT_SENT, Progress.WITHDRAWN)
+        || progress.get() == Progress.WITHDRAWN;
   }
 
   /** Aborts the attempt and closes its connection. */
@@ -234,7 +256,7 @@
     Throwable cause = result.getFailure();
     String rejection = rejectionReason;
     String reason = rejection != null ? rejection : String.valueOf(cause);
-    if (!sent) {
+    if (withdraw()) {
       listener.completed(this, new Completion.NotSent(reason));
     } else {
       listener.completed(this, new Completion.Failed(reason, cause instanceof TimeoutException));
