Take a refusal of a target only for the request that it names

An operator of a similar system reported that a faulty instance wrote an earlier refusal once more on a kept connection, so that requests which ran were refused as not run. It could happen here if the copy carried no request id, and with any status 408, 429 or 503 without the statement that the request did not run: the status was passed on for requests that may run once.

Change: a refusal without the id of its request counts as a broken response. A response to a request that may run once with a status that guarantees that it did not run, but without the statement of the target, is answered 502.

FaultyTargetTest.lateCopyOfRefusalIsNoStatementAboutLaterRequest failed before for all of its cases.

Another report was of heads that broke off and reached callers as complete. headThatBreaksOffIsNoSuccess shows that this does not happen here, wherever the head ends; it passed before, too.

--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -388,9 +388,22 @@
         targets.times.record(cacheState, workMillis);
       }
     }
+    if (!requireRoute().idempotent() && guaranteesNotRun(completion.status())) {
+      // The target did not state that the request has not run, but the status would tell that.
+      mayHaveRun = true;
+      refuse(RefusalReason.TARGET_FAILED, "target responded with status " + completion.status());
+      return;
+    }
     deliver(attempt, completion);
   }
 
+  /** Returns whether callers take a status as the statement that the request did not run. */
+  private static boolean guaranteesNotRun(int status) {
+    return status == HttpStatus.SERVICE_UNAVAILABLE_503
+        || status == HttpStatus.TOO_MANY_REQUESTS_429
+        || status == HttpStatus.REQUEST_TIMEOUT_408;
+  }
+
   private ServiceTargets requireService() {
     ServiceTargets current = service;
     if (current == null) {
--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -13,6 +13,7 @@
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpURI;
 import org.eclipse.jetty.io.Content;
 import org.jspecify.annotations.Nullable;
@@ -193,13 +194,22 @@
       rejectionReason = "response to another request: " + answeredId;
     } else if (answeredId == null && response.getStatus() < 400 && !answer.signed()) {
       rejectionReason = "response without signature";
+    } else if (answeredId == null && isRefusal(response, answer)) {
+      // It may be a late copy of a refusal of an earlier request, while this one runs.
+      rejectionReason = "refusal without the id of its request";
     } else if (response.getHeaders().contains(HttpHeader.CONTENT_ENCODING)) {
       rejectionReason = "response with a content encoding";
     }
     String reason = rejectionReason;
     if (reason != null) {
       response.abort(new IOException(reason));
+      return;
     }
+    listener.answered(this, response.getStatus(), answer);
+  }
+
+  private static boolean isRefusal(Response response, TargetResponse answer) {
+    return answer.notRun() || response.getStatus() == HttpStatus.MISDIRECTED_REQUEST_421;
   }
 
   private void onContent(Response response, Content.Chunk chunk, Runnable demand) {
