Reserve the memory of a body before it is read

Cause: 256 KB were reserved for a body without a declared length, whatever its size, and the buffers of the library were held until its end.

Change: BodyReader reserves memory before it grows its array, releases the buffers of the library at once, and refuses a body for which there is no memory as not run.

--- a/steering/src/main/java/verbenahatch/steering/CallerChannel.java
+++ b/steering/src/main/java/verbenahatch/steering/CallerChannel.java
@@ -9,7 +9,6 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
-import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.QuietException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -26,15 +25,12 @@
  */
 final class CallerChannel {
 
-  /** Memory reserved for a body without a declared length, in bytes. */
-  private static final long UNDECLARED_BODY_BYTES = 256 * 1024;
-
   private final EntryContext context;
   private final Request request;
   private final Response response;
   private final Callback callback;
   private final AtomicBoolean finished = new AtomicBoolean();
-  private long bodyReserved;
+  private @Nullable BodyReader bodyReader;
   private volatile boolean bodyRead;
   private volatile boolean streaming;
   private volatile @Nullable CallerWatch watch;
@@ -73,33 +69,28 @@
       onRead.accept(null);
       return;
     }
-    bodyReserved = declaredLength > 0 ? declaredLength : UNDECLARED_BODY_BYTES;
-    if (context.bodyMemory.addAndGet(bodyReserved) > EntryContext.MAX_BODY_MEMORY) {
-      onRefused.accept(RefusalReason.NO_MEMORY, "the memory for request bodies is used up");
-      return;
-    }
-    int limit = (int) Math.min(maxBytes, EntryContext.MAX_BODY_MEMORY);
-    Content.Source.asByteArrayAsync(request, limit)
-        .whenComplete(
-            (bytes, failure) -> {
-              bodyRead = true;
-              if (failure instanceof IllegalStateException) {
-                onRefused.accept(RefusalReason.BODY_TOO_LONG, String.valueOf(failure.getMessage()));
-              } else if (failure != null) {
-                onRefused.accept(RefusalReason.BODY_INCOMPLETE, failure.toString());
-              } else {
-                reserve(bytes.length);
-                onRead.accept(bytes);
+    BodyReader reader =
+        new BodyReader(
+            request,
+            declaredLength,
+            maxBytes,
+            context.bodyMemory,
+            EntryContext.MAX_BODY_MEMORY,
+            new BodyReader.Listener() {
+              @Override
+              public void onRead(byte[] body) {
+                bodyRead = true;
+                onRead.accept(body);
               }
-            });
-  }
 
-  private void reserve(long length) {
-    long additional = length - bodyReserved;
-    if (additional > 0) {
-      bodyReserved = length;
-      context.bodyMemory.addAndGet(additional);
-    }
+              @Override
+              public void onFailure(RefusalReason reason, String detail) {
+                bodyRead = reason == RefusalReason.BODY_INCOMPLETE;
+                onRefused.accept(reason, detail);
+              }
+            });
+    bodyReader = reader;
+    reader.start();
   }
 
   /** Starts to watch for a disconnect of the caller and for the timeout, given in ms. */
@@ -125,7 +116,10 @@
     if (timeoutTask != null) {
       timeoutTask.cancel();
     }
-    context.bodyMemory.addAndGet(-bodyReserved);
+    BodyReader reader = bodyReader;
+    if (reader != null) {
+      reader.release();
+    }
     return true;
   }
 
