Send the path of a request as it came

Change: VerbatimRequest gives path and query to the sender unchanged, also in the gateway, which had the same cause.

--- a/gateway/src/main/java/verbenahatch/gateway/Attempt.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Attempt.java
@@ -18,6 +18,7 @@
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
+import verbenahatch.http.VerbatimRequest;
 import verbenahatch.model.EnvironmentDocument.Target;
 
 /** Forwards a request to one target and streams its response to the caller. */
@@ -64,13 +65,12 @@
     long timeoutMillis =
         mayRetry ? Math.max(1, (long) (timeLeftMillis * FIRST_ATTEMPT_FRACTION)) : timeLeftMillis;
     Request targetRequest =
-        exchange
-            .dataPath
-            .client()
-            .client(ownConnection)
-            .newRequest(target.address(), target.port())
+        VerbatimRequest.create(
+                exchange.dataPath.client().client(ownConnection),
+                target.address(),
+                target.port(),
+                pathAndQuery(callerRequest))
             .method(callerRequest.getMethod())
-            .path(pathAndQuery(callerRequest))
             .timeout(timeoutMillis, TimeUnit.MILLISECONDS)
             // The idle timeout of the client is for connections between requests.
             .idleTimeout(0, TimeUnit.MILLISECONDS)
--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -122,9 +122,8 @@
     this.listener = listener;
     this.startNanos = nowNanos;
     request =
-        pool.newRequest(choice.target().record(), message.idempotent)
+        pool.newRequest(choice.target().record(), message.idempotent, message.uri.getPathQuery())
             .method(message.method)
-            .path(message.uri.getPathQuery())
             .timeout(message.timeoutMillis, TimeUnit.MILLISECONDS)
             // The idle timeout of the pool is for connections between requests; the library would
             // also end a request whose target works for that long without sending bytes.
--- a/steering/src/main/java/verbenahatch/steering/TargetPool.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetPool.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 import verbenahatch.http.IdleConnections;
 import verbenahatch.http.KeepAliveConnector;
+import verbenahatch.http.VerbatimRequest;
 import verbenahatch.steering.model.TargetRecord;
 
 /**
@@ -70,9 +71,16 @@
     return client;
   }
 
-  Request newRequest(TargetRecord target, boolean idempotent) {
-    return (idempotent ? idempotentClient : nonIdempotentClient)
-        .newRequest(target.address(), target.port());
+  /**
+   * Creates a request.
+   *
+   * @param target the target
+   * @param idempotent whether the request may run more than once
+   * @param pathAndQuery the path and query, which are sent as they are
+   */
+  Request newRequest(TargetRecord target, boolean idempotent, String pathAndQuery) {
+    HttpClient client = idempotent ? idempotentClient : nonIdempotentClient;
+    return VerbatimRequest.create(client, target.address(), target.port(), pathAndQuery);
   }
 
   /** Closes the idle connections to a target, as they may be broken like one that timed out. */
