Stop using a target that leaves or asks for a pause

A target announces in its responses that it is about to stop, and may ask one host for a pause with the refusal of a request.

Change: a leaving target is not chosen again, whatever its entry in the registry says and also if the entry expires and is written again; a new start under its id is. A target that asked for a pause is left out until the end of the pause. If all targets asked for one, the request is refused at once, with a pause for the caller that fits.

--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -21,6 +21,7 @@
 import verbenahatch.steering.model.SteeringDocument.SteeringWorkspace;
 import verbenahatch.steering.model.WireProtocol.CallerRequest;
 import verbenahatch.steering.model.WireProtocol.TargetRequest;
+import verbenahatch.steering.model.WireProtocol.TargetResponse;
 
 /**
  * Forwards one request of a caller to a target and returns the response.
@@ -52,6 +53,7 @@
   private int attempts;
   private int deliveredAttempts;
   private long objectHash;
+  private long backOffMillis;
   private volatile boolean callerDisconnected;
   private volatile boolean mayHaveRun;
   private volatile @Nullable TargetAttempt currentAttempt;
@@ -182,6 +184,9 @@
       dispatch();
       return;
     }
+    if (outcome instanceof Outcome.None none) {
+      backOffMillis = none.backOffMillis();
+    }
     refuse(lastFailure, outcome + lastReason);
   }
 
@@ -316,6 +321,26 @@
     }
   }
 
+  @Override
+  public void answered(TargetAttempt attempt, int status, TargetResponse answer) {
+    if (status == HttpStatus.MISDIRECTED_REQUEST_421) {
+      // Another target has taken over the address and speaks for itself only.
+      return;
+    }
+    Target target = attempt.choice.target();
+    if (answer.leaving()) {
+      context.state.targets.markLeaving(target);
+    }
+    boolean pauses =
+        status == HttpStatus.SERVICE_UNAVAILABLE_503
+            && answer.backOffMillis() > 0
+            && target.backOff(answer.backOffMillis(), context.state.clock.nanoTime());
+    if (pauses) {
+      context.state.events.log(
+          SteeringEvent.TARGET_BACK_OFF, target.record().id(), answer.backOffMillis());
+    }
+  }
+
   @Override
   public synchronized void completed(TargetAttempt attempt, Completion completion) {
     inFlightAttempts.remove(attempt);
@@ -562,7 +587,7 @@
 
   private String retryAfter() {
     return RequestPolicy.retryAfterSeconds(
-        route == null ? RequestPolicy.DEFAULT_REMAINING_MILLIS : remainingMillis());
+        route == null ? RequestPolicy.DEFAULT_REMAINING_MILLIS : remainingMillis(), backOffMillis);
   }
 
   private void finishWithoutResponse(String reason) {
--- a/steering/src/main/java/verbenahatch/steering/RequestPolicy.java
+++ b/steering/src/main/java/verbenahatch/steering/RequestPolicy.java
@@ -76,10 +76,16 @@
     return delayMillis > remainingMillis * MAX_HEDGE_DELAY_FRACTION ? -1 : (long) delayMillis;
   }
 
-  /** Returns the seconds after which a refused caller should retry, with two decimals. */
-  static String retryAfterSeconds(double remainingMillis) {
-    double pauseMillis = Math.max(0, remainingMillis) * RETRY_AFTER_FRACTION;
-    return String.format(
-        Locale.ROOT, "%.2f", Math.min(MAX_RETRY_AFTER_MILLIS, pauseMillis) / 1_000);
+  /**
+   * Returns the seconds after which a refused caller should retry, with two decimals.
+   *
+   * @param remainingMillis the time in ms for which the caller will wait
+   * @param backOffMillis the time in ms for which it is known that no target takes the request; 0
+   *     if unknown
+   */
+  static String retryAfterSeconds(double remainingMillis, long backOffMillis) {
+    double longestMillis = Math.max(0, remainingMillis) * RETRY_AFTER_FRACTION;
+    double usefulMillis = Math.max(MAX_RETRY_AFTER_MILLIS, backOffMillis);
+    return String.format(Locale.ROOT, "%.2f", Math.min(usefulMillis, longestMillis) / 1_000);
   }
 }
--- a/steering/src/main/java/verbenahatch/steering/SteeringEvent.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringEvent.java
@@ -45,7 +45,9 @@
   /** Periodic work failed. */
   TASK_FAILED(1118, Level.ERROR, "task-failed task={} reason={}"),
   /** Connections were closed because their callers took too long to send a request header. */
-  HEADER_TIMEOUT(1119, Level.WARN, "header-timeout connections={} limit_ms={}");
+  HEADER_TIMEOUT(1119, Level.WARN, "header-timeout connections={} limit_ms={}"),
+  /** A target refused a request and asked this host for a pause. */
+  TARGET_BACK_OFF(1120, Level.INFO, "target-back-off id={} for_ms={}");
 
   private final Definition definition;
 
--- a/steering/src/main/java/verbenahatch/steering/Target.java
+++ b/steering/src/main/java/verbenahatch/steering/Target.java
@@ -43,6 +43,9 @@
 
   private static final long MAX_EJECTION_MILLIS = 3_000;
 
+  /** Keeps times of the clock from wrapping if a target asks for an absurdly long back-off. */
+  private static final long MAX_BACK_OFF_MILLIS = TimeUnit.DAYS.toMillis(1);
+
   final String region;
   final long idHash;
   final AtomicInteger inFlight = new AtomicInteger();
@@ -52,6 +55,8 @@
   private volatile long ejectedUntilNanos;
   private volatile boolean probing;
   private volatile boolean removed;
+  private volatile boolean leaving;
+  private volatile long backOffUntilNanos;
   private volatile boolean used;
   private final AtomicInteger consecutiveFailures = new AtomicInteger();
   private volatile double peerLoad;
@@ -69,6 +74,7 @@
     this.idHash = Hashing.of(record.id());
     this.coldUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(record.coldMillis());
     this.ejectedUntilNanos = nowNanos;
+    this.backOffUntilNanos = nowNanos;
     this.reportNanos = nowNanos;
     this.failureNanos = nowNanos;
   }
@@ -100,6 +106,47 @@
     removed = true;
   }
 
+  /**
+   * Records that the target announced in a response that it is about to stop; lasts, because its
+   * registry entry may say otherwise for some time.
+   *
+   * @return false if this was recorded before
+   */
+  boolean markLeaving() {
+    boolean first = !leaving;
+    leaving = true;
+    return first;
+  }
+
+  boolean isLeaving() {
+    return leaving;
+  }
+
+  /**
+   * Sends the target no requests for a time that it asked for; does not shorten an earlier one.
+   *
+   * @param durationMillis the time in ms, not negative
+   * @param nowNanos the current time in ns
+   * @return whether the target took requests until now
+   */
+  boolean backOff(long durationMillis, long nowNanos) {
+    long boundedMillis = Math.min(MAX_BACK_OFF_MILLIS, durationMillis);
+    long untilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(boundedMillis);
+    boolean first = backOffMillis(nowNanos) == 0;
+    if (untilNanos - backOffUntilNanos > 0) {
+      backOffUntilNanos = untilNanos;
+    }
+    return first;
+  }
+
+  /**
+   * Returns for how many ms the target still wants no requests of this host, 0 if it takes them.
+   */
+  long backOffMillis(long nowNanos) {
+    long nanos = backOffUntilNanos - nowNanos;
+    return nanos <= 0 ? 0 : TimeUnit.NANOSECONDS.toMillis(nanos) + 1;
+  }
+
   /** Records that this host sent the target a request. */
   void markUsed() {
     used = true;
@@ -109,9 +156,9 @@
     return used;
   }
 
-  /** Returns whether the target is registered and not draining. */
+  /** Returns whether the target is registered and neither draining nor leaving. */
   boolean acceptsRequests() {
-    return !removed && !record.draining();
+    return !removed && !leaving && !record.draining();
   }
 
   boolean isEjected(long nowNanos) {
--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -67,6 +67,9 @@
   /** Receives the completion of an attempt and the parts of a streamed response. */
   interface Listener {
 
+    /** Called when the head of a response to this request arrives, before its completion. */
+    void answered(TargetAttempt attempt, int status, TargetResponse answer);
+
     /** Called once, on any thread. */
     void completed(TargetAttempt attempt, Completion completion);
 
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -89,10 +89,15 @@
      *
      * @param shortestWaitMillis the expected wait in ms at the best target; {@link
      *     Double#MAX_VALUE} if no target is usable
+     * @param backOffMillis the time in ms until the first target takes requests of this host again,
+     *     if all usable ones asked for a pause; 0 otherwise
      */
-    record None(double shortestWaitMillis) implements Outcome {
+    record None(double shortestWaitMillis, long backOffMillis) implements Outcome {
       @Override
       public String toString() {
+        if (backOffMillis > 0) {
+          return "all targets asked for a pause, the shortest one of " + backOffMillis + " ms. ";
+        }
         if (shortestWaitMillis == Double.MAX_VALUE) {
           return "no usable target. ";
         }
@@ -129,10 +134,20 @@
     long now = clock.nanoTime();
     List<Target> usable = new ArrayList<>();
     int maxInFlight = connectionsPerHost(criteria);
+    long shortestBackOff = Long.MAX_VALUE;
     for (Target target : criteria.service.targets) {
-      if (target.inFlight.get() < maxInFlight && isUsable(target, criteria, now)) {
-        usable.add(target);
+      if (target.inFlight.get() >= maxInFlight || !isUsable(target, criteria, now)) {
+        continue;
       }
+      long backOff = target.backOffMillis(now);
+      if (backOff > 0) {
+        shortestBackOff = Math.min(shortestBackOff, backOff);
+        continue;
+      }
+      usable.add(target);
+    }
+    if (usable.isEmpty() && shortestBackOff != Long.MAX_VALUE) {
+      return new Outcome.None(Double.MAX_VALUE, shortestBackOff);
     }
     Map<String, Target> preferred = preferredTargets(usable, criteria);
     Map<String, Double> prices = slotPrices(usable, now);
@@ -153,14 +168,14 @@
       }
     }
     if (byRegion.isEmpty()) {
-      return new Outcome.None(shortestWait);
+      return new Outcome.None(shortestWait, 0);
     }
     Choice best = paceRegions(byRegion, criteria, now);
     if (best.waitMillis > maxWaitAt(best, criteria)) {
-      return new Outcome.None(best.waitMillis);
+      return new Outcome.None(best.waitMillis, 0);
     }
     if (best.target.isCold(now) && !takeWarmUpToken(best.target, criteria, now)) {
-      return new Outcome.None(Double.MAX_VALUE);
+      return new Outcome.None(Double.MAX_VALUE, 0);
     }
     return best;
   }
--- a/steering/src/main/java/verbenahatch/steering/TargetTable.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetTable.java
@@ -4,6 +4,7 @@
 import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
+import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -24,6 +25,9 @@
  */
 final class TargetTable {
 
+  /** Number of leaving targets that are remembered after their entries are gone. */
+  private static final int MAX_LEAVING_REMEMBERED = 4_096;
+
   /** Time after an outage in which running targets with expired entries register again. */
   static final long REREGISTRATION_MILLIS = 2_000;
 
@@ -34,6 +38,21 @@
   private final Map<String, ServiceTargets> services = new ConcurrentHashMap<>();
   private final Map<String, Target> byId = new HashMap<>();
   private final Map<String, Long> missingUntilNanos = new HashMap<>();
+
+  /**
+   * Start times, by id, of targets that announced their stop. An entry may expire in an outage of
+   * the registry and be written again; the target is still about to stop then.
+   */
+  private final Map<String, Long> leavingStartMillis =
+      new LinkedHashMap<>() {
+        private static final long serialVersionUID = 1L;
+
+        @Override
+        protected boolean removeEldestEntry(Map.Entry<String, Long> eldest) {
+          return size() > MAX_LEAVING_REMEMBERED;
+        }
+      };
+
   private volatile Set<String> evacuated = Set.of();
   private long graceEndNanos;
   private boolean hadOutage;
@@ -139,10 +158,28 @@
       existing.markRemoved();
     }
     String region = regionsByZone.getOrDefault(record.zone(), "");
-    byId.put(record.id(), new Target(record, region, now));
+    Target target = new Target(record, region, now);
+    if (Long.valueOf(record.startedWallMillis()).equals(leavingStartMillis.get(record.id()))) {
+      target.markLeaving();
+    } else {
+      leavingStartMillis.remove(record.id());
+    }
+    byId.put(record.id(), target);
     log(record, existing == null ? "added" : "restarted");
   }
 
+  /** Uses a target no longer, because it announced in a response that it is about to stop. */
+  void markLeaving(Target target) {
+    if (!target.markLeaving()) {
+      return;
+    }
+    TargetRecord record = target.record();
+    synchronized (this) {
+      leavingStartMillis.put(record.id(), record.startedWallMillis());
+    }
+    log(record, "leaving");
+  }
+
   private void remove(String id) {
     missingUntilNanos.remove(id);
     Target existing = byId.remove(id);
--- a/steering/src/main/java/verbenahatch/steering/model/WireProtocol.java
+++ b/steering/src/main/java/verbenahatch/steering/model/WireProtocol.java
@@ -36,9 +36,17 @@
    * @param signed whether it carries the target's signature
    * @param notRun whether the target states that the request did not run
    * @param load the load of the target, null if not reported
+   * @param leaving whether the target announces that it is about to stop
+   * @param backOffMillis the time in milliseconds for which the target wants no requests of this
+   *     host, 0 if not given; applies only if the target refused the request
    */
   record TargetResponse(
-      @Nullable String requestId, boolean signed, boolean notRun, @Nullable TargetLoad load) {}
+      @Nullable String requestId,
+      boolean signed,
+      boolean notRun,
+      @Nullable TargetLoad load,
+      boolean leaving,
+      long backOffMillis) {}
 
   /**
    * Holds the load that a target reports.
--- a/steering/src/test/java/verbenahatch/steering/HeaderTimeoutTest.java
+++ b/steering/src/test/java/verbenahatch/steering/HeaderTimeoutTest.java
@@ -100,7 +100,8 @@
       assertEquals(0, check());
       socket.getOutputStream().write("\r\n".getBytes(StandardCharsets.US_ASCII));
       assertEquals('H', socket.getInputStream().read());
-      String response = new String(socket.getInputStream().readNBytes(11), StandardCharsets.US_ASCII);
+      String response =
+          new String(socket.getInputStream().readNBytes(11), StandardCharsets.US_ASCII);
       assertEquals("TTP/1.1 200", response);
       clock.advance(Duration.ofMillis(TIMEOUT_MILLIS));
       assertEquals(0, check());
--- a/steering/src/test/java/verbenahatch/steering/RequestPolicyTest.java
+++ b/steering/src/test/java/verbenahatch/steering/RequestPolicyTest.java
@@ -43,6 +43,6 @@
   @ParameterizedTest
   @CsvSource({"3000, 0.25", "600, 0.18", "0, 0.00", "-5, 0.00"})
   void callerRetriesWithinFirstThirdOfRemainingTime(double remainingMillis, String seconds) {
-    assertEquals(seconds, RequestPolicy.retryAfterSeconds(remainingMillis));
+    assertEquals(seconds, RequestPolicy.retryAfterSeconds(remainingMillis, 0));
   }
 }
--- a/steering/src/test/java/verbenahatch/steering/StopPlanTest.java
+++ b/steering/src/test/java/verbenahatch/steering/StopPlanTest.java
@@ -18,8 +18,8 @@
   }
 
   /**
-   * Uploads sent 3.0 to 3.5 s after SIGTERM that took 3 s were cut at 5.8 s of a grace period of 6 s
-   * (review, StopCutsLateRequests).
+   * Uploads sent 3.0 to 3.5 s after SIGTERM that took 3 s were cut at 5.8 s of a grace period of 6
+   * s (review, StopCutsLateRequests).
    */
   @ParameterizedTest
   @CsvSource({
