Refresh a feed when another host has seen a newer evacuation or release

Cause: a host of a large fleet reads evacuations through the relay of its zone. A relay that is cut off notices this by unanswered keep-alive probes after 3 s and more, and another relay has to take over then. Heartbeats named the newest document and targets that a host had seen, so that others detected their lag, but not the newest evacuation or release.

Change: heartbeats name both. FeedLag, which replaces the detection for documents and targets, reads the feed from the store when another host has known a newer change for 0.6 s, or 1.2 s behind a relay.

StaleFeedTest.evacuationThatAnotherHostKnowsIsRead fails without the check of evacuations (not in force after 10 s) and passes with it; FeedLagTest covers the decision.

--- a/steering/src/main/java/verbenahatch/steering/SteeringState.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringState.java
@@ -47,7 +47,7 @@
   /** Time without a heartbeat after which the record of a host is removed from the store. */
   private static final long HOST_RECORD_EXPIRY_MILLIS = 20_000;
 
-  /** Time for which a peer may know a newer version than this host before its watch is stale. */
+  /** Time for which a peer may know a newer change than this host before its feed is stale. */
   private static final long STALE_WATCH_MILLIS = 600;
 
   /** Additional time allowed to a host that reads a feed through a relay. */
@@ -90,8 +90,7 @@
   private volatile boolean leaving;
   private volatile boolean registered;
   private long nextWriteNanos;
-  private long staleDocumentNanos;
-  private long staleTargetsNanos;
+  private final List<FeedLag> feedLags;
 
   SteeringState(
       Clock clock,
@@ -142,6 +141,15 @@
     evacuationFeed =
         follower("evacuations", store.evacuations(), new ZoneMessages(), this::applyEvacuations);
     hostFeed = follower("hosts", store.hosts(), new HostMessages(), this::applyHosts);
+    feedLags =
+        List.of(
+            new FeedLag(HostBeat::getDocumentVersion, this::documentVersion, documentFeed::refresh),
+            new FeedLag(HostBeat::getTargetsRevision, targetFeed::revision, targetFeed::refresh),
+            new FeedLag(HostBeat::getReleasesRevision, releaseFeed::revision, releaseFeed::refresh),
+            new FeedLag(
+                HostBeat::getEvacuationsRevision,
+                evacuationFeed::revision,
+                evacuationFeed::refresh));
   }
 
   private <T> Follower<T> follower(
@@ -276,6 +284,11 @@
     return document.get();
   }
 
+  private long documentVersion() {
+    DocumentIndex current = document.get();
+    return current == null ? 0 : current.document.version();
+  }
+
   /**
    * Returns whether this host has read all feeds that requests depend on.
    *
@@ -323,7 +336,7 @@
     if (current != null) {
       quotas.allocate(current.document.workspaces());
     }
-    detectStaleWatches(current == null ? 0 : current.document.version());
+    detectStaleFeeds();
   }
 
   /** Restarts the watches of the other feeds, which the store may have lost in an outage. */
@@ -351,33 +364,13 @@
     return newest;
   }
 
-  private void detectStaleWatches(long ownVersion) {
-    long newestDocumentVersion = 0;
-    for (HostBeat heartbeat : hosts.live()) {
-      newestDocumentVersion = Math.max(newestDocumentVersion, heartbeat.getDocumentVersion());
-    }
-    long newestTargetsRevision = newestTargetsRevisionOfPeers();
-    outage.observePeerRevision(newestTargetsRevision, clock.nanoTime());
-    staleDocumentNanos =
-        refreshIfStale(newestDocumentVersion > ownVersion, staleDocumentNanos, documentFeed);
-    boolean isBehind = newestTargetsRevision > targetFeed.revision();
-    staleTargetsNanos = refreshIfStale(isBehind, staleTargetsNanos, targetFeed);
-  }
-
-  private long refreshIfStale(boolean isBehind, long behindSinceNanos, Follower<?> feed) {
-    if (!isBehind) {
-      return 0;
-    }
-    long nowNanos = clock.nanoTime();
-    if (behindSinceNanos == 0) {
-      return nowNanos;
-    }
+  private void detectStaleFeeds() {
+    outage.observePeerRevision(newestTargetsRevisionOfPeers(), clock.nanoTime());
     long toleranceMillis = STALE_WATCH_MILLIS + (relays.relay() == null ? 0 : RELAY_DELAY_MILLIS);
-    if (nowNanos - behindSinceNanos > TimeUnit.MILLISECONDS.toNanos(toleranceMillis)) {
-      feed.refresh();
-      return nowNanos;
+    List<HostBeat> heartbeats = hosts.live();
+    for (FeedLag lag : feedLags) {
+      lag.check(heartbeats, toleranceMillis, clock.nanoTime());
     }
-    return behindSinceNanos;
   }
 
   /** Does the periodic work that writes to the store; runs on a thread that may block. */
@@ -428,7 +421,6 @@
    * @param sequence the number of the heartbeat, which grows with each one of this process
    */
   HostBeat heartbeat(long sequence) {
-    DocumentIndex current = document.get();
     HostBeat.Builder heartbeat =
         HostBeat.newBuilder()
             .setHost(self.name())
@@ -442,8 +434,10 @@
             .setRegion(self.region())
             .setStoreReachable(!storeFailed())
             .setReadsStore(followers.stream().allMatch(Follower::readsStore))
-            .setDocumentVersion(current == null ? 0 : current.document.version())
-            .setTargetsRevision(targetFeed.newestChange());
+            .setDocumentVersion(documentVersion())
+            .setTargetsRevision(targetFeed.newestChange())
+            .setReleasesRevision(releaseFeed.newestChange())
+            .setEvacuationsRevision(evacuationFeed.newestChange());
     heartbeat.addAllUses(targets.exchangeUse(hosts.live()));
     heartbeat.setUptimeMillis(hosts.uptimeMillis());
     quotas.writeDemands(heartbeat);
