Do not stream a refusal without the target's statement

A response 503 above 512 KB to a request that may run once was streamed to the caller before it was compared with the target's statement, and so told that the request had not run. It is ended with 502 now, as shorter ones are.

--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -538,7 +538,8 @@
 
   @Override
   public synchronized boolean begin(TargetAttempt attempt, int status, HttpFields fields) {
-    if (channel.isFinished() || !inFlightAttempts.startStreaming(attempt)) {
+    boolean promises = !requireRoute().idempotent() && guaranteesNotRun(status);
+    if (promises || channel.isFinished() || !inFlightAttempts.startStreaming(attempt)) {
       return false;
     }
     inFlightAttempts.abortOthers(attempt, "another target responded");
--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -73,7 +73,7 @@
     /** Called once, on any thread. */
     void completed(TargetAttempt attempt, Completion completion);
 
-    /** Begins a streamed response; returns false if the caller already has a response. */
+    /** Begins a streamed response; returns false if the caller must not get this response. */
     boolean begin(TargetAttempt attempt, int status, HttpFields fields);
 
     /** Writes a part of a streamed response and runs the continuation when it is written. */
@@ -226,7 +226,7 @@
     if (!streaming) {
       streaming = true;
       if (!listener.begin(this, response.getStatus(), response.getHeaders())) {
-        response.abort(new IOException("the caller already has a response"));
+        response.abort(new IOException("the response may not be streamed"));
         return;
       }
       byte[] bytes = new byte[part.remaining()];
