Pause between attempts to remove the record of a leaving host

A store that refuses the removal at once was called four times a second until the end of the process. The removal waits 2 s between calls, as other writes of the record do.

--- a/steering/src/main/java/verbenahatch/steering/SteeringState.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringState.java
@@ -376,7 +376,8 @@
   /** Does the periodic work that writes to the store; runs on a thread that may block. */
   void maintain() {
     boolean isWriteDue = clock.nanoTime() - nextWriteNanos >= 0;
-    if (leaving) {
+    if (leaving && isWriteDue) {
+      nextWriteNanos = clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WRITE_PAUSE_MILLIS);
       deregister();
     }
     if (!registered && !leaving && isWriteDue && hostFeed.isReachable()) {
@@ -400,7 +401,7 @@
     }
   }
 
-  /** Removes this host's record from the store; a failed call is repeated in the next round. */
+  /** Removes this host's record from the store; a failed call is repeated after the pause. */
   private void deregister() {
     if (registered && confirmed("host/" + self.name(), store.removeHost(self.name()))) {
       registered = false;
