--- a/steering/src/main/java/verbenahatch/steering/FeedLag.java
+++ b/steering/src/main/java/verbenahatch/steering/FeedLag.java
@@ -42,12 +42,8 @@
    * @param nowNanos the current time in ns
    */
   void check(List<HostBeat> heartbeats, long toleranceMillis, long nowNanos) {
-    long own = newestOfThisHost.getAsLong();
     boolean wasBehind = behind;
-    behind = false;
-    for (HostBeat heartbeat : heartbeats) {
-      behind |= newestOfPeer.applyAsLong(heartbeat) > own;
-    }
+    behind = isBehind(heartbeats);
     if (!behind) {
       return;
     }
@@ -58,4 +54,14 @@
       behindSinceNanos = nowNanos;
     }
   }
+
+  private boolean isBehind(List<HostBeat> heartbeats) {
+    long own = newestOfThisHost.getAsLong();
+    for (HostBeat heartbeat : heartbeats) {
+      if (newestOfPeer.applyAsLong(heartbeat) > own) {
+        return true;
+      }
+    }
+    return false;
+  }
 }
