Make a withdrawn request harmless if another thread aborts it late

Cause: a withdrawn attempt was aborted when the library began to send it. An abort has no effect while another thread, the timeout of the library, is still at its own abort, so the first bytes could be sent.

Change: the request is also rewritten to expect a target that does not exist, which every target refuses without running it.

--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -33,6 +33,9 @@
   /** Longest response that is buffered; longer ones are streamed with back-pressure. */
   private static final int MAX_BUFFERED_BYTES = 512 * 1024;
 
+  /** The id of no target; a target does not run a request that expects it. */
+  private static final String NO_TARGET = "withdrawn";
+
   /** Describes how an attempt ended. */
   sealed interface Completion {
 
@@ -85,6 +88,7 @@
   private final WireProtocol wire;
   private final String requestId;
   private final Listener listener;
+  private final HttpFields callerFields;
   private final Request request;
   private final AtomicReference<Progress> progress = new AtomicReference<>(Progress.NOT_SENT);
   private final AtomicBoolean completed = new AtomicBoolean();
@@ -122,6 +126,7 @@
     this.wire = wire;
     this.choice = choice;
     this.requestId = message.requestId;
+    this.callerFields = message.fields;
     this.listener = listener;
     this.startNanos = nowNanos;
     request =
@@ -159,17 +164,26 @@
   }
 
   private void beginSending() {
-    if (!progress.compareAndSet(Progress.NOT_SENT, Progress.SENT)
-        && progress.get() == Progress.WITHDRAWN) {
-      // The library sends nothing of a request that is aborted before its first byte.
-      request.abort(new IOException("withdrawn before it was sent"));
+    progress.compareAndSet(Progress.NOT_SENT, Progress.SENT);
+    if (progress.get() == Progress.SENT) {
+      return;
     }
+    // The library sends nothing of a request that is aborted before its first byte. If another
+    // thread is about to abort it, though, its first bytes may still be sent; the target then
+    // refuses the request, because it expects another target.
+    TargetRequest refused = new TargetRequest(1, NO_TARGET, null);
+    request.headers(
+        headers -> {
+          headers.clear();
+          wire.writeRequest(callerFields, refused, headers);
+        });
+    request.abort(new IOException("withdrawn before it was sent"));
   }
 
   /**
    * Withdraws the request unless it is being sent already.
    *
-   * @return true if certainly no byte of it reaches the target, now or later
+   * @return true if it certainly does not run, now or later
    */
   boolean withdraw() {
     return progress.compareAndSet(Progress.NOT_SENT, Progress.WITHDRAWN)
