Split EntryExchange

Cause: the class had 625 lines and kept statistics, the document of the request and the flow of attempts together.

Change: AttemptRecorder records results of attempts, RequestScope holds the document, route and workspace; the decision which statuses guarantee that a request did not run is in RefusalReason.

--- /dev/null
+++ b/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
@@ -0,0 +1,189 @@
+package verbenahatch.steering;
+
+import org.eclipse.jetty.http.HttpStatus;
+import verbenahatch.steering.TargetAttempt.Completion;
+import verbenahatch.steering.model.WireProtocol.TargetResponse;
+
+/**
+ * Records what the attempts of one request tell about its service and its targets.
+ *
+ * <p>Updates load, ejection, response times, back-off, the retry budget and the comparison of
+ * versions; does not decide what becomes of the request.
+ */
+final class AttemptRecorder {
+
+  /** A response slower than this multiple of the cold time counts as failed for its version. */
+  private static final double SLOW_VERSION_FACTOR = 2.5;
+
+  final ServiceTargets targets;
+
+  private final EntryContext context;
+
+  /**
+   * Creates a recorder.
+   *
+   * @param context the shared state of the host
+   * @param targets the service that the request is for
+   */
+  AttemptRecorder(EntryContext context, ServiceTargets targets) {
+    this.context = context;
+    this.targets = targets;
+  }
+
+  /** Counts an attempt in the metrics under the name of its outcome. */
+  private void count(String outcome) {
+    context.metrics.attempts.labelValues(targets.name, outcome).inc();
+  }
+
+  /**
+   * Takes a retry from the budget of the service and counts it in the metrics.
+   *
+   * @param free whether the retry needs no budget
+   * @param kind the label of a retry that is sent
+   * @return whether the budget allows the retry
+   */
+  boolean tryRetry(boolean free, String kind) {
+    boolean allowed = free || context.retryBudget(targets.name).tryRetry();
+    context.metrics.retries.labelValues(targets.name, allowed ? kind : "left-out").inc();
+    return allowed;
+  }
+
+  private long now() {
+    return context.state.clock.nanoTime();
+  }
+
+  /**
+   * Records what the header fields of a response say about a target's wish for further requests.
+   *
+   * @param target the target that was asked
+   * @param status the status of the response
+   * @param answer the fields of the protocol
+   */
+  void recordWishes(Target target, int status, TargetResponse answer) {
+    if (status == HttpStatus.MISDIRECTED_REQUEST_421) {
+      // Another target has taken over the address and speaks for itself only.
+      return;
+    }
+    if (answer.leaving()) {
+      context.state.targets.markLeaving(target);
+    }
+    boolean pauses =
+        status == HttpStatus.SERVICE_UNAVAILABLE_503
+            && answer.backOffMillis() > 0
+            && target.backOff(answer.backOffMillis(), now());
+    if (pauses) {
+      context.state.events.log(
+          SteeringEvent.TARGET_BACK_OFF, target.record().id(), answer.backOffMillis());
+    }
+  }
+
+  /**
+   * Records a response that states that the request did not run.
+   *
+   * @param target the target that was asked
+   * @param completion the response
+   */
+  void recordRejection(Target target, Completion.Responded completion) {
+    target.recordLoad(completion.answer().load(), now());
+    if (completion.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
+      count("misdirected");
+      // Another target has taken over the address; a registry update will follow.
+      target.eject(now());
+    } else {
+      count("rejected");
+    }
+  }
+
+  /**
+   * Records a response to a request that ran.
+   *
+   * @param attempt the attempt
+   * @param completion its response
+   * @param route the name of the route
+   * @return the time in ms from the start of the attempt to the response
+   */
+  double recordResponse(TargetAttempt attempt, Completion.Responded completion, String route) {
+    long now = now();
+    Target target = attempt.choice.target();
+    target.recordLoad(completion.answer().load(), now);
+    double millis = (now - attempt.startNanos) / 1e6;
+    boolean failed = completion.status() >= HttpStatus.INTERNAL_SERVER_ERROR_500;
+    boolean slow = millis > targets.times.coldMillis() * SLOW_VERSION_FACTOR;
+    boolean countsAsBad = failed || (slow && !target.isCold(now));
+    context.state.releases.record(targets.name, route, target.record().version(), countsAsBad);
+    count(failed ? "failed" : "served");
+    if (failed) {
+      target.recordFailure(now);
+    }
+    return millis;
+  }
+
+  /**
+   * Records the response time of a successful attempt.
+   *
+   * @param attempt the attempt
+   * @param millis the time in ms that {@link #recordResponse} returned
+   * @param namesObject whether the request names an object, which the target now has
+   * @param objectHash the hash of that object
+   */
+  void recordSuccess(TargetAttempt attempt, double millis, boolean namesObject, long objectHash) {
+    Target target = attempt.choice.target();
+    if (namesObject) {
+      target.recentObjects.add(objectHash);
+    }
+    double workMillis = Math.max(millis - attempt.choice.waitMillis(), millis * 0.2);
+    CacheState cacheState = attempt.choice.cacheState();
+    // Only a target that is known to have the object is slow if it takes longer than a warm one.
+    double expectedMillis =
+        cacheState == CacheState.WARM
+            ? targets.times.warmMillis()
+            : targets.times.nearestMillis(workMillis);
+    long now = now();
+    target.recordSuccess(workMillis / Math.max(1, expectedMillis), now);
+    // Requests that name no object, for example probes of a route, may do no work at all.
+    if (!target.isCold(now) && namesObject) {
+      targets.times.record(cacheState, workMillis);
+    }
+  }
+
+  /**
+   * Records an attempt that reached no target, and ejects the target unless the attempt was
+   * aborted.
+   *
+   * @param attempt the attempt
+   * @param reason why it was not sent
+   */
+  void recordNotSent(TargetAttempt attempt, String reason) {
+    count("not-sent");
+    if (attempt.isAborted()) {
+      return;
+    }
+    Target target = attempt.choice.target();
+    long millis = target.eject(now());
+    targets.recordLoss(now());
+    if (millis > 0) {
+      context.state.events.log(
+          SteeringEvent.TARGET_EJECTED, target.record().id(), 1, millis, reason);
+    }
+  }
+
+  /**
+   * Records an attempt that was sent and got no complete response.
+   *
+   * @param attempt the attempt
+   * @param timedOut whether its time was over
+   * @param route the name of the route
+   */
+  void recordFailure(TargetAttempt attempt, boolean timedOut, String route) {
+    count(timedOut ? "timed-out" : "broken");
+    if (attempt.isAborted()) {
+      return;
+    }
+    Target target = attempt.choice.target();
+    context.state.releases.record(targets.name, route, target.record().version(), true);
+    target.recordFailure(now());
+    if (timedOut) {
+      context.pool.closeIdle(target.record());
+    }
+  }
+}
--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -2,11 +2,11 @@
 
 import java.nio.ByteBuffer;
 import java.util.HashSet;
-import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.http.HttpURI;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
@@ -34,19 +34,14 @@
   /** With less remaining time than this, a retry is not worthwhile. */
   private static final long MIN_RETRY_MILLIS = 100;
 
-  /** A response slower than this multiple of the cold time counts as failed for its version. */
-  private static final double SLOW_VERSION_FACTOR = 2.5;
-
   private final EntryContext context;
   private final CallerChannel channel;
   private final Request request;
   private final CallerRequest caller;
+  private final RequestScope scope;
   private final long startNanos;
   private final Set<Target> attempted = new HashSet<>();
-  private @Nullable DocumentIndex document;
-  private @Nullable SteeringRoute route;
-  private @Nullable SteeringWorkspace workspace;
-  private @Nullable ServiceTargets service;
+  private @Nullable AttemptRecorder recorder;
   private VersionRule versionRule = VersionRule.ANY;
   private byte @Nullable [] body;
   private long deadlineNanos;
@@ -67,47 +62,44 @@
     this.request = request;
     this.startNanos = context.state.clock.nanoTime();
     this.caller = context.wire.readRequest(request.getHeaders());
+    HttpURI uri = request.getHttpURI();
+    this.scope =
+        new RequestScope(uri.getHost(), uri.getPath(), caller.key(), context.state.document());
   }
 
   void start() {
-    DocumentIndex index = context.state.document();
-    document = index;
     StopPlan plan = context.stopPlan;
     if (plan != null && !plan.accepts(startNanos, 0)) {
       refuse(RefusalReason.STOPPING, "stopping");
       return;
     }
-    if (index == null || !context.state.hasReadAllFeeds()) {
+    if (!scope.hasDocument() || !context.state.hasReadAllFeeds()) {
       refuse(RefusalReason.NO_DOCUMENT, "not all objects of the store were read yet");
       return;
     }
-    String path = request.getHttpURI().getPath();
-    String host = request.getHttpURI().getHost();
-    if (path == null || host == null || caller.id() == null) {
+    if (!scope.hasAddress() || caller.id() == null) {
       refuse(RefusalReason.BAD_REQUEST, "no host, path or request id");
       return;
     }
-    SteeringRoute matchedRoute = matchRoute(index);
-    route = matchedRoute;
-    if (matchedRoute == null) {
-      refuse(RefusalReason.NO_ROUTE, host + path);
+    if (!scope.match()) {
+      refuse(RefusalReason.NO_ROUTE, scope.address());
       return;
     }
-    long millis = matchedRoute.timeoutMillis();
-    if (caller.waitMillis() >= 0) {
-      millis = Math.min(millis, caller.waitMillis());
-    }
+    SteeringRoute route = scope.route();
+    long allowedMillis = route.timeoutMillis();
+    long millis =
+        caller.waitMillis() >= 0 ? Math.min(allowedMillis, caller.waitMillis()) : allowedMillis;
     deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(millis);
     if (plan != null && !plan.accepts(startNanos, millis)) {
       refuse(RefusalReason.STOPPING, "the request may not end before the process does");
       return;
     }
-    new CallerAdmission(context, request, this).start(index, matchedRoute, caller.key());
+    new CallerAdmission(context, request, this).start(scope.document(), route, caller.key());
   }
 
   @Override
   public void onWorkspace(SteeringWorkspace keyWorkspace) {
-    workspace = keyWorkspace;
+    scope.setWorkspace(keyWorkspace);
   }
 
   @Override
@@ -129,7 +121,7 @@
   private void onCallerDisconnected(Throwable cause) {
     callerDisconnected = true;
     inFlightAttempts.abortOnDisconnect(
-        route != null && route.idempotent(), "the caller disconnected");
+        scope.hasRoute() && scope.route().idempotent(), "the caller disconnected");
   }
 
   private synchronized void onDeadline() {
@@ -137,14 +129,6 @@
     inFlightAttempts.abortOthers(null, "the deadline passed");
   }
 
-  private SteeringRoute requireRoute() {
-    SteeringRoute current = route;
-    if (current == null) {
-      throw new IllegalStateException("no route yet");
-    }
-    return current;
-  }
-
   private long remainingMillis() {
     return (deadlineNanos - context.state.clock.nanoTime()) / 1_000_000;
   }
@@ -158,27 +142,24 @@
       refuse(RefusalReason.EXPIRED, "the deadline passed before the request was sent");
       return;
     }
-    if (!isStillAllowed()) {
+    RefusalReason refusal = scope.refresh(context.state.document());
+    if (refusal != null) {
+      refuse(refusal, "the document changed while the request waited");
       return;
     }
-    SteeringRoute matchedRoute = requireRoute();
-    DocumentIndex index = document;
-    if (index == null) {
-      throw new IllegalStateException("no document yet");
-    }
-    ServiceTargets targets = service;
-    if (targets == null) {
-      targets = context.state.targets.service(index.nextService(matchedRoute));
-      service = targets;
-      versionRule = context.state.releases.nextVersionRule(targets.name);
-      context.retryBudget(targets.name).onRequest();
+    if (recorder == null) {
+      String name = scope.document().nextService(scope.route());
+      recorder = new AttemptRecorder(context, context.state.targets.service(name));
+      versionRule = context.state.releases.nextVersionRule(name);
+      context.retryBudget(name).onRequest();
     }
-    Outcome outcome = choose(index, matchedRoute, targets);
+    Outcome outcome = choose();
     if (outcome instanceof Choice choice) {
       send(choice);
       return;
     }
-    VersionRule fallback = context.state.releases.fallbackRule(targets.name, versionRule);
+    VersionRule fallback =
+        context.state.releases.fallbackRule(requireRecorder().targets.name, versionRule);
     if (fallback != versionRule) {
       versionRule = fallback;
       dispatch();
@@ -190,38 +171,9 @@
     refuse(lastFailure, outcome + lastReason);
   }
 
-  /**
-   * Checks the request again if a newer document came into force while it waited for its body, its
-   * admission or another attempt; refuses it if the document no longer allows it.
-   */
-  private boolean isStillAllowed() {
-    DocumentIndex current = context.state.document();
-    if (current == null || current == document) {
-      return true;
-    }
-    SteeringRoute currentRoute = matchRoute(current);
-    if (currentRoute == null) {
-      refuse(RefusalReason.NO_ROUTE, "the route was removed while the request waited");
-      return false;
-    }
-    String key = caller.key();
-    if (!CallerAdmission.isKeyValid(current, currentRoute, key)) {
-      refuse(RefusalReason.BAD_KEY, "the key was withdrawn while the request waited");
-      return false;
-    }
-    document = current;
-    route = currentRoute;
-    workspace = key == null || currentRoute.open() ? null : current.workspace(key);
-    return true;
-  }
-
-  private @Nullable SteeringRoute matchRoute(DocumentIndex index) {
-    String path = request.getHttpURI().getPath();
-    String host = request.getHttpURI().getHost();
-    return path == null || host == null ? null : index.route(host.toLowerCase(Locale.ROOT), path);
-  }
-
-  private Outcome choose(DocumentIndex index, SteeringRoute matchedRoute, ServiceTargets targets) {
+  private Outcome choose() {
+    SteeringRoute route = scope.route();
+    ServiceTargets targets = requireRecorder().targets;
     String objectKey = caller.objectKey();
     boolean namesObject = objectKey != null;
     objectHash = Hashing.of(namesObject ? objectKey + targets.name : String.valueOf(caller.id()));
@@ -229,16 +181,16 @@
     Criteria criteria =
         new Criteria(
             targets,
-            index.document.services().get(targets.name),
+            scope.document().document.services().get(targets.name),
             objectHash,
             namesObject,
             context.state.settings.region(),
-            RequestPolicy.allowedRegions(matchedRoute, workspace),
+            RequestPolicy.allowedRegions(route, scope.workspace()),
             bytes == null ? 0 : bytes.length,
             attempted,
             versionRule,
-            matchedRoute.targetLatencyMillis() - elapsedMillis(),
-            Math.min(RequestPolicy.maxLateWaitMillis(matchedRoute, workspace), remainingMillis()));
+            route.targetLatencyMillis() - elapsedMillis(),
+            Math.min(RequestPolicy.maxLateWaitMillis(route, scope.workspace()), remainingMillis()));
     return context.state.selector.choose(criteria);
   }
 
@@ -247,9 +199,9 @@
   }
 
   private void send(Choice choice) {
-    SteeringRoute matchedRoute = requireRoute();
+    SteeringRoute route = scope.route();
     long remaining = Math.max(1, remainingMillis());
-    SteeringWorkspace keyWorkspace = workspace;
+    SteeringWorkspace keyWorkspace = scope.workspace();
     TargetRequest protocolFields =
         new TargetRequest(
             remaining,
@@ -264,7 +216,7 @@
             request.getHeaders(),
             body,
             String.valueOf(caller.id()),
-            matchedRoute.idempotent(),
+            route.idempotent(),
             protocolFields,
             remaining);
     TargetAttempt attempt =
@@ -282,8 +234,7 @@
       return;
     }
     attempt.send();
-    long hedgeDelayMillis =
-        RequestPolicy.hedgeDelayMillis(choice, matchedRoute, attempts, remaining);
+    long hedgeDelayMillis = RequestPolicy.hedgeDelayMillis(choice, route, attempts, remaining);
     if (hedgeDelayMillis > 0) {
       context.timer.schedule(() -> hedge(attempt), hedgeDelayMillis, TimeUnit.MILLISECONDS);
     }
@@ -300,71 +251,42 @@
             || callerDisconnected
             || currentAttempt != slow
             || !inFlightAttempts.isOpen(slow);
-    DocumentIndex index = document;
-    if (obsolete || index == null || context.state.isLeaving() || !mayRetry()) {
+    if (obsolete || context.state.isLeaving() || !mayRetry()) {
       return;
     }
     Target target = slow.choice.target();
     target.recordFailure(context.state.clock.nanoTime());
     context.pool.closeIdle(target.record());
-    Outcome outcome = choose(index, requireRoute(), requireService());
-    if (outcome instanceof Choice choice && choice.waitMillis() <= 0) {
-      boolean withinBudget = context.retryBudget(requireService().name).tryRetry();
-      context
-          .metrics
-          .retries
-          .labelValues(requireService().name, withinBudget ? "beside" : "left-out")
-          .inc();
-      if (withinBudget) {
-        send(choice);
-      }
+    Outcome outcome = choose();
+    boolean available = outcome instanceof Choice choice && choice.waitMillis() <= 0;
+    if (available && requireRecorder().tryRetry(false, "beside")) {
+      send((Choice) outcome);
     }
   }
 
   @Override
   public void answered(TargetAttempt attempt, int status, TargetResponse answer) {
-    if (status == HttpStatus.MISDIRECTED_REQUEST_421) {
-      // Another target has taken over the address and speaks for itself only.
-      return;
-    }
-    Target target = attempt.choice.target();
-    if (answer.leaving()) {
-      context.state.targets.markLeaving(target);
-    }
-    boolean pauses =
-        status == HttpStatus.SERVICE_UNAVAILABLE_503
-            && answer.backOffMillis() > 0
-            && target.backOff(answer.backOffMillis(), context.state.clock.nanoTime());
-    if (pauses) {
-      context.state.events.log(
-          SteeringEvent.TARGET_BACK_OFF, target.record().id(), answer.backOffMillis());
-    }
+    requireRecorder().recordWishes(attempt.choice.target(), status, answer);
   }
 
   @Override
   public synchronized void completed(TargetAttempt attempt, Completion completion) {
     inFlightAttempts.remove(attempt);
-    Target target = attempt.choice.target();
-    target.inFlight.decrementAndGet();
+    attempt.choice.target().inFlight.decrementAndGet();
     if (completion instanceof Completion.Responded responded) {
-      onResponse(attempt, target, responded);
+      onResponse(attempt, responded);
     } else if (completion instanceof Completion.NotSent notSent) {
-      onNotSent(attempt, target, notSent);
+      onNotSent(attempt, notSent);
     } else if (completion instanceof Completion.Failed failed) {
-      onFailed(attempt, target, failed);
+      onFailed(attempt, failed);
     }
   }
 
-  private void onResponse(TargetAttempt attempt, Target target, Completion.Responded completion) {
-    long now = context.state.clock.nanoTime();
-    target.recordLoad(completion.answer().load(), now);
-    if (completion.answer().notRun() || completion.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
-      boolean misdirected = completion.status() == HttpStatus.MISDIRECTED_REQUEST_421;
-      count(misdirected ? "misdirected" : "rejected");
-      if (misdirected) {
-        // Another target has taken over the address; a registry update will follow.
-        target.eject(now);
-      } else {
+  private void onResponse(TargetAttempt attempt, Completion.Responded completion) {
+    boolean misdirected = completion.status() == HttpStatus.MISDIRECTED_REQUEST_421;
+    if (completion.answer().notRun() || misdirected) {
+      requireRecorder().recordRejection(attempt.choice.target(), completion);
+      if (!misdirected) {
         deliveredAttempts++;
       }
       retryOrRefuse(
@@ -375,45 +297,13 @@
       return;
     }
     deliveredAttempts++;
-    double millis = (now - attempt.startNanos) / 1e6;
-    boolean failed = completion.status() >= HttpStatus.INTERNAL_SERVER_ERROR_500;
-    ServiceTargets targets = requireService();
-    boolean slow = millis > targets.times.coldMillis() * SLOW_VERSION_FACTOR;
-    boolean countsAsBad = failed || (slow && !target.isCold(now));
-    context.state.releases.record(
-        targets.name, requireRoute().name(), target.record().version(), countsAsBad);
-    count(failed ? "failed" : "served");
-    if (failed) {
-      target.recordFailure(now);
-      boolean mayRetryFailure =
-          requireRoute().idempotent() && !attempt.isStreaming() && !channel.isFinished();
-      if (mayRetryFailure && (!inFlightAttempts.isEmpty() || mayRetry())) {
-        lastFailure = RefusalReason.TARGET_FAILED;
-        lastReason = "target responded with status " + completion.status();
-        mayHaveRun = true;
-        if (inFlightAttempts.isEmpty()) {
-          retry(false);
-        }
-        return;
-      }
-    } else {
-      if (caller.objectKey() != null) {
-        target.recentObjects.add(objectHash);
-      }
-      double workMillis = Math.max(millis - attempt.choice.waitMillis(), millis * 0.2);
-      CacheState cacheState = attempt.choice.cacheState();
-      // Only a target that is known to have the object is slow if it takes longer than a warm one.
-      double expectedMillis =
-          cacheState == CacheState.WARM
-              ? targets.times.warmMillis()
-              : targets.times.nearestMillis(workMillis);
-      target.recordSuccess(workMillis / Math.max(1, expectedMillis), now);
-      // Requests that name no object, for example probes of a route, may do no work at all.
-      if (!target.isCold(now) && caller.objectKey() != null) {
-        targets.times.record(cacheState, workMillis);
-      }
+    double millis = requireRecorder().recordResponse(attempt, completion, scope.route().name());
+    if (completion.status() < HttpStatus.INTERNAL_SERVER_ERROR_500) {
+      requireRecorder().recordSuccess(attempt, millis, caller.objectKey() != null, objectHash);
+    } else if (retryFailedResponse(attempt, completion.status())) {
+      return;
     }
-    if (!requireRoute().idempotent() && guaranteesNotRun(completion.status())) {
+    if (!scope.route().idempotent() && RefusalReason.guaranteesNotRun(completion.status())) {
       // The target did not state that the request has not run, but the status would tell that.
       mayHaveRun = true;
       refuse(RefusalReason.TARGET_FAILED, "target responded with status " + completion.status());
@@ -422,15 +312,24 @@
     deliver(attempt, completion);
   }
 
-  /** Returns whether callers take a status as the statement that the request did not run. */
-  private static boolean guaranteesNotRun(int status) {
-    return status == HttpStatus.SERVICE_UNAVAILABLE_503
-        || status == HttpStatus.TOO_MANY_REQUESTS_429
-        || status == HttpStatus.REQUEST_TIMEOUT_408;
+  /** Waits for another attempt or starts one after a failure response, if the request allows it. */
+  private boolean retryFailedResponse(TargetAttempt attempt, int status) {
+    boolean mayRetryFailure =
+        scope.route().idempotent() && !attempt.isStreaming() && !channel.isFinished();
+    if (!mayRetryFailure || (inFlightAttempts.isEmpty() && !mayRetry())) {
+      return false;
+    }
+    lastFailure = RefusalReason.TARGET_FAILED;
+    lastReason = "target responded with status " + status;
+    mayHaveRun = true;
+    if (inFlightAttempts.isEmpty()) {
+      retry(false);
+    }
+    return true;
   }
 
-  private ServiceTargets requireService() {
-    ServiceTargets current = service;
+  private AttemptRecorder requireRecorder() {
+    AttemptRecorder current = recorder;
     if (current == null) {
       throw new IllegalStateException("no service yet");
     }
@@ -452,26 +351,14 @@
     }
   }
 
-  private void onNotSent(TargetAttempt attempt, Target target, Completion.NotSent completion) {
-    count("not-sent");
-    if (!attempt.isAborted()) {
-      eject(target, completion.reason());
-    }
+  private void onNotSent(TargetAttempt attempt, Completion.NotSent completion) {
+    requireRecorder().recordNotSent(attempt, completion.reason());
     retryOrRefuse(RefusalReason.NO_CAPACITY, completion.reason(), false, true);
   }
 
-  private void onFailed(TargetAttempt attempt, Target target, Completion.Failed completion) {
+  private void onFailed(TargetAttempt attempt, Completion.Failed completion) {
     deliveredAttempts++;
-    count(completion.timedOut() ? "timed-out" : "broken");
-    if (!attempt.isAborted()) {
-      long now = context.state.clock.nanoTime();
-      context.state.releases.record(
-          requireService().name, requireRoute().name(), target.record().version(), true);
-      target.recordFailure(now);
-      if (completion.timedOut()) {
-        context.pool.closeIdle(target.record());
-      }
-    }
+    requireRecorder().recordFailure(attempt, completion.timedOut(), scope.route().name());
     if (inFlightAttempts.isStreamed(attempt)) {
       if (channel.finish()) {
         recordOutcome(0, "broken-off", completion.reason(), true);
@@ -485,19 +372,6 @@
     retryOrRefuse(refusal, completion.reason(), true, false);
   }
 
-  private void eject(Target target, String reason) {
-    long millis = target.eject(context.state.clock.nanoTime());
-    requireService().recordLoss(context.state.clock.nanoTime());
-    if (millis > 0) {
-      context.state.events.log(
-          SteeringEvent.TARGET_EJECTED, target.record().id(), 1, millis, reason);
-    }
-  }
-
-  private void count(String outcome) {
-    context.metrics.attempts.labelValues(requireService().name, outcome).inc();
-  }
-
   private void retryOrRefuse(
       RefusalReason refusal, String reason, boolean attemptMayHaveRun, boolean needsNoBudget) {
     lastFailure = refusal;
@@ -509,7 +383,7 @@
       finishWithoutResponse(reason);
       return;
     }
-    boolean allowed = !attemptMayHaveRun || requireRoute().idempotent();
+    boolean allowed = !attemptMayHaveRun || scope.route().idempotent();
     if (allowed && mayRetry()) {
       retry(needsNoBudget);
       return;
@@ -518,18 +392,15 @@
   }
 
   private boolean mayRetry() {
-    return attempts < Math.max(1, requireRoute().maxAttempts())
+    return attempts < Math.max(1, scope.route().maxAttempts())
         && remainingMillis() > MIN_RETRY_MILLIS;
   }
 
   /** Retries the request at another target if the retry budget allows it; otherwise refuses it. */
   private void retry(boolean needsNoBudget) {
-    String name = requireService().name;
     // A request that reached no target is no retry for the targets, so it needs no budget.
-    boolean withinBudget =
-        needsNoBudget && deliveredAttempts == 0 || context.retryBudget(name).tryRetry();
-    context.metrics.retries.labelValues(name, withinBudget ? "sent" : "left-out").inc();
-    if (withinBudget) {
+    boolean free = needsNoBudget && deliveredAttempts == 0;
+    if (requireRecorder().tryRetry(free, "sent")) {
       dispatch();
     } else {
       refuse(lastFailure, lastReason + ", retry budget is used up");
@@ -538,7 +409,7 @@
 
   @Override
   public synchronized boolean begin(TargetAttempt attempt, int status, HttpFields fields) {
-    boolean promises = !requireRoute().idempotent() && guaranteesNotRun(status);
+    boolean promises = !scope.route().idempotent() && RefusalReason.guaranteesNotRun(status);
     if (promises || channel.isFinished() || !inFlightAttempts.startStreaming(attempt)) {
       return false;
     }
@@ -588,7 +459,8 @@
 
   private String retryAfter() {
     return RequestPolicy.retryAfterSeconds(
-        route == null ? RequestPolicy.DEFAULT_REMAINING_MILLIS : remainingMillis(), backOffMillis);
+        scope.hasRoute() ? remainingMillis() : RequestPolicy.DEFAULT_REMAINING_MILLIS,
+        backOffMillis);
   }
 
   private void finishWithoutResponse(String reason) {
@@ -599,27 +471,24 @@
   }
 
   private void recordOutcome(int status, String outcome, String reason, boolean logged) {
-    double millis = (context.state.clock.nanoTime() - startNanos) / 1e6;
+    double millis = elapsedMillis();
     context.metrics.requests.labelValues(outcome).inc();
     context.metrics.requestSeconds.observe(millis / 1_000);
     if (!logged) {
       return;
     }
-    SteeringRoute matchedRoute = route;
-    SteeringWorkspace keyWorkspace = workspace;
-    DocumentIndex index = document;
     TargetAttempt attempt = currentAttempt;
     context.requestLog.log(
         String.valueOf(caller.id()),
-        matchedRoute == null ? "-" : matchedRoute.name(),
-        keyWorkspace == null ? "-" : keyWorkspace.name(),
+        scope.routeName(),
+        scope.workspaceName(),
         outcome,
         status,
         attempts,
         attempt == null ? "-" : attempt.choice.target().record().id(),
         Math.round(millis),
-        matchedRoute == null ? -1 : remainingMillis(),
-        index == null ? 0 : index.document.version(),
+        scope.hasRoute() ? remainingMillis() : -1,
+        scope.documentVersion(),
         reason);
   }
 }
--- a/steering/src/main/java/verbenahatch/steering/RefusalReason.java
+++ b/steering/src/main/java/verbenahatch/steering/RefusalReason.java
@@ -49,7 +49,17 @@
 
   /** Returns whether the caller may retry, because the request did not run and never will. */
   boolean guaranteesNotRun() {
+    return guaranteesNotRun(status);
+  }
+
+  /**
+   * Returns whether callers take a status as the statement that the request did not run.
+   *
+   * @param status the status of a response, also one of a target
+   */
+  static boolean guaranteesNotRun(int status) {
     return status == HttpStatus.SERVICE_UNAVAILABLE_503
-        || status == HttpStatus.TOO_MANY_REQUESTS_429;
+        || status == HttpStatus.TOO_MANY_REQUESTS_429
+        || status == HttpStatus.REQUEST_TIMEOUT_408;
   }
 }
