Log what a stop cuts off, its steps, and what ended an attempt

The requests are found in a map that costs one entry for each request in flight.
The process learns of a signal only when it runs; a late periodic task is the sign that it did not run before.
The lines share the bound of those about requests.

No decision changes.

--- a/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
+++ b/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
@@ -167,15 +167,31 @@
     }
   }
 
+  /** Records what ended an attempt, so that a status made by this host can be explained. */
+  private void recordEnd(TargetAttempt attempt, Completion.Failed completion) {
+    AttemptEnd end =
+        AttemptEnd.of(attempt.isAborted(), completion.timedOut(), attempt.hasInvalidResponse());
+    context.metrics.unanswered.labelValues(targets.name, end.label()).inc();
+    context.requestLog.log(
+        SteeringEvent.ATTEMPT_UNANSWERED,
+        attempt.requestId,
+        attempt.choice.target().record().id(),
+        (now() - attempt.startNanos) / 1_000_000,
+        end.label(),
+        completion.reason());
+  }
+
   /**
    * Records an attempt that was sent and got no complete response.
    *
    * @param attempt the attempt
-   * @param timedOut whether its time was over
+   * @param completion how it ended
    * @param route the name of the route
    */
-  void recordFailure(TargetAttempt attempt, boolean timedOut, String route) {
+  void recordFailure(TargetAttempt attempt, Completion.Failed completion, String route) {
+    boolean timedOut = completion.timedOut();
     count(timedOut ? "timed-out" : "broken");
+    recordEnd(attempt, completion);
     if (attempt.isAborted()) {
       return;
     }
--- a/steering/src/main/java/verbenahatch/steering/CallerChannel.java
+++ b/steering/src/main/java/verbenahatch/steering/CallerChannel.java
@@ -30,7 +30,7 @@
   private final Response response;
   private final Callback callback;
   private final AtomicBoolean finished = new AtomicBoolean();
-  private @Nullable BodyReader bodyReader;
+  private volatile @Nullable BodyReader bodyReader;
   private volatile boolean bodyRead;
   private volatile boolean streaming;
   private volatile @Nullable CallerWatch watch;
@@ -93,6 +93,11 @@
     reader.start();
   }
 
+  /** Returns whether the body is being read. */
+  boolean isReadingBody() {
+    return bodyReader != null && !bodyRead;
+  }
+
   /** Starts to watch for a disconnect of the caller and for the timeout, given in ms. */
   void watch(Consumer<Throwable> onDisconnect, Runnable onTimeout, long timeoutMillis) {
     watch = CallerWatch.begin(request, onDisconnect);
--- a/steering/src/main/java/verbenahatch/steering/EntryContext.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryContext.java
@@ -30,6 +30,7 @@
   final SteeringMetrics metrics;
   final RequestLog requestLog;
   final AtomicInteger requestsInFlight = new AtomicInteger();
+  final InFlightRequests inFlight = new InFlightRequests();
   final AtomicLong bodyMemory = new AtomicLong();
 
   /** Decides which requests are accepted during a stop; null before. */
--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -35,11 +35,11 @@
   private static final long MIN_RETRY_MILLIS = 100;
 
   private final EntryContext context;
-  private final CallerChannel channel;
+  final CallerChannel channel;
   private final Request request;
-  private final CallerRequest caller;
-  private final RequestScope scope;
-  private final long startNanos;
+  final CallerRequest caller;
+  final RequestScope scope;
+  final long startNanos;
   private final Set<Target> attempted = new HashSet<>();
   private @Nullable AttemptRecorder recorder;
   private VersionRule versionRule = VersionRule.ANY;
@@ -52,7 +52,7 @@
   private volatile boolean callerDisconnected;
   private volatile boolean mayHaveRun;
   private volatile @Nullable TargetAttempt currentAttempt;
-  private final InFlightAttempts inFlightAttempts = new InFlightAttempts();
+  final InFlightAttempts inFlightAttempts = new InFlightAttempts();
   private RefusalReason lastFailure = RefusalReason.NO_CAPACITY;
   private String lastReason = "";
 
@@ -358,7 +358,7 @@
 
   private void onFailed(TargetAttempt attempt, Completion.Failed completion) {
     deliveredAttempts++;
-    requireRecorder().recordFailure(attempt, completion.timedOut(), scope.route().name());
+    requireRecorder().recordFailure(attempt, completion, scope.route().name());
     if (inFlightAttempts.isStreamed(attempt)) {
       if (channel.finish()) {
         recordOutcome(0, "broken-off", completion.reason(), true);
@@ -479,6 +479,7 @@
     }
     TargetAttempt attempt = currentAttempt;
     context.requestLog.log(
+        SteeringEvent.REQUEST,
         String.valueOf(caller.id()),
         scope.routeName(),
         scope.workspaceName(),
--- a/steering/src/main/java/verbenahatch/steering/EntryServer.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryServer.java
@@ -157,9 +157,16 @@
       }
       context.requestsInFlight.incrementAndGet();
       Callback countingCallback =
-          Callback.from(callback, context.requestsInFlight::decrementAndGet);
+          Callback.from(
+              callback,
+              () -> {
+                context.inFlight.remove(request);
+                context.requestsInFlight.decrementAndGet();
+              });
       try {
-        new EntryExchange(context, request, response, countingCallback).start();
+        EntryExchange exchange = new EntryExchange(context, request, response, countingCallback);
+        context.inFlight.add(request, exchange);
+        exchange.start();
       } catch (RuntimeException | Error e) {
         state.events.log(SteeringEvent.TASK_FAILED, "request", e.toString());
         countingCallback.failed(e);
@@ -237,6 +244,11 @@
     return context.requestsInFlight.get();
   }
 
+  /** Logs the requests that are in flight when the process is about to end. */
+  void logCutRequests() {
+    context.inFlight.logCut(state.events, state.clock.nanoTime());
+  }
+
   /**
    * Refuses new requests as not run from the time on that the plan of a stop gives.
    *
--- a/steering/src/main/java/verbenahatch/steering/InFlightAttempts.java
+++ b/steering/src/main/java/verbenahatch/steering/InFlightAttempts.java
@@ -27,6 +27,17 @@
     return attempts.isEmpty();
   }
 
+  /** Returns the attempt that has been in flight for the longest time, null if there is none. */
+  @Nullable TargetAttempt oldest() {
+    TargetAttempt oldest = null;
+    for (TargetAttempt attempt : attempts) {
+      if (oldest == null || attempt.startNanos - oldest.startNanos < 0) {
+        oldest = attempt;
+      }
+    }
+    return oldest;
+  }
+
   /** Returns whether an attempt is in flight and no response is being streamed yet. */
   boolean isOpen(TargetAttempt attempt) {
     return attempts.contains(attempt) && streamedAttempt == null;
--- a/steering/src/main/java/verbenahatch/steering/RequestLog.java
+++ b/steering/src/main/java/verbenahatch/steering/RequestLog.java
@@ -23,9 +23,9 @@
     this.lines = new TokenBucket(LINES_PER_SECOND, BURST_LINES, BURST_LINES, clock.nanoTime());
   }
 
-  void log(Object... args) {
+  void log(SteeringEvent event, Object... args) {
     if (lines.tryTake(clock.nanoTime())) {
-      events.log(SteeringEvent.REQUEST, args);
+      events.log(event, args);
     } else {
       dropped.increment();
     }
--- a/steering/src/main/java/verbenahatch/steering/SteeringEvent.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringEvent.java
@@ -7,7 +7,7 @@
   /** The host accepts connections and may still wait for its first document. */
   STARTED(1101, Level.INFO, "start host={} incarnation={} zone={} region={}"),
   /** SIGTERM arrived. */
-  STOPPING(1102, Level.INFO, "stop-begin host={} running={}"),
+  STOPPING(1102, Level.INFO, "stop-begin host={} running={} after_ms={} tick_age_ms={}"),
   /** The graceful stop has finished; the process ends. */
   STOPPED(1103, Level.INFO, "stop-end host={} running={}"),
   /** The settings file was read again. */
@@ -47,7 +47,17 @@
   /** Connections were closed because their callers took too long to send a request header. */
   HEADER_TIMEOUT(1119, Level.WARN, "header-timeout connections={} limit_ms={}"),
   /** A target refused a request and asked this host for a pause. */
-  TARGET_BACK_OFF(1120, Level.INFO, "target-back-off id={} for_ms={}");
+  TARGET_BACK_OFF(1120, Level.INFO, "target-back-off id={} for_ms={}"),
+  /** A step of a graceful stop has ended. */
+  STOP_STEP(1121, Level.INFO, "stop-step name={} at_ms={} took_ms={}"),
+  /** The end of the process cuts off a request. */
+  REQUEST_CUT(
+      1122,
+      Level.WARN,
+      "request-cut id={} route={} target={} elapsed_ms={} at_target_ms={} missing={}"),
+  /** An attempt was sent and got no complete, valid response. */
+  ATTEMPT_UNANSWERED(
+      1123, Level.INFO, "attempt-unanswered id={} target={} ran_ms={} ended_by={} reason={}");
 
   private final Definition definition;
 
--- a/steering/src/main/java/verbenahatch/steering/SteeringHost.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringHost.java
@@ -31,6 +31,7 @@
   private final EntryServer server;
   private final PeerLink peers;
   private final Thread maintenance;
+  private volatile long lastTickNanos;
   private volatile boolean closed;
 
   /**
@@ -51,6 +52,7 @@
     new SecureRandom().nextBytes(random);
     String incarnation = HexFormat.of().formatHex(random);
     kernel = new Kernel(clock, events);
+    lastTickNanos = clock.nanoTime();
     state = new SteeringState(clock, events, settings, store, incarnation);
     state.start();
     server = new EntryServer(state, wire, kernel);
@@ -65,6 +67,7 @@
   }
 
   private void tick() {
+    lastTickNanos = state.clock.nanoTime();
     state.tick();
     server.applyLimits();
   }
@@ -128,21 +131,34 @@
       return;
     }
     StopPlan plan = new StopPlan(signalNanos, settings.bounds().stopMillis());
-    state.events.log(SteeringEvent.STOPPING, settings.host(), server.runningRequests());
-    state.leave();
+    StopSteps steps = new StopSteps(state.clock, state.events, signalNanos);
+    state.events.log(
+        SteeringEvent.STOPPING,
+        settings.host(),
+        server.runningRequests(),
+        steps.elapsedMillis(),
+        TimeUnit.NANOSECONDS.toMillis(state.clock.nanoTime() - lastTickNanos));
+    steps.run("leave", state::leave);
     server.useStopPlan(plan);
-    peers.sendHeartbeatNow();
-    TimeUnit.MILLISECONDS.sleep(plan.millisUntilRefusal(state.clock.nanoTime()));
-    server.awaitIdle(plan.millisUntilEnd(state.clock.nanoTime()));
-    server.stopAccepting();
-    TimeUnit.MILLISECONDS.sleep(LAST_REFUSALS_MILLIS);
-    server.awaitIdle(LAST_REFUSALS_MILLIS);
+    steps.run("heartbeat", peers::sendHeartbeatNow);
+    steps.run(
+        "serve",
+        () -> TimeUnit.MILLISECONDS.sleep(plan.millisUntilRefusal(state.clock.nanoTime())));
+    steps.run("wait", () -> server.awaitIdle(plan.millisUntilEnd(state.clock.nanoTime())));
+    steps.run(
+        "close-port",
+        () -> {
+          server.stopAccepting();
+          TimeUnit.MILLISECONDS.sleep(LAST_REFUSALS_MILLIS);
+          server.awaitIdle(LAST_REFUSALS_MILLIS);
+        });
     closed = true;
+    server.logCutRequests();
     state.events.log(SteeringEvent.STOPPED, settings.host(), server.runningRequests());
     maintenance.interrupt();
-    peers.close();
-    server.close();
-    state.close();
-    kernel.close();
+    steps.run("close-peers", peers::close);
+    steps.run("close-server", server::close);
+    steps.run("close-state", state::close);
+    steps.run("close-kernel", kernel::close);
   }
 }
--- a/steering/src/main/java/verbenahatch/steering/SteeringMetrics.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringMetrics.java
@@ -9,6 +9,7 @@
 
   final Counter requests;
   final Counter attempts;
+  final Counter unanswered;
   final Counter retries;
   final Counter admissions;
   final Histogram requestSeconds;
@@ -26,6 +27,12 @@
             .help("Requests sent to targets by service and outcome.")
             .labelNames("service", "outcome")
             .register(registry);
+    unanswered =
+        Counter.builder()
+            .name("verbenahatch_steering_attempts_unanswered_total")
+            .help("Requests sent to targets without a valid response, by what ended the attempt.")
+            .labelNames("service", "ended_by")
+            .register(registry);
     retries =
         Counter.builder()
             .name("verbenahatch_steering_retries_total")
--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -86,7 +86,7 @@
   final Choice choice;
   final long startNanos;
   private final WireProtocol wire;
-  private final String requestId;
+  final String requestId;
   private final Listener listener;
   private final HttpFields callerFields;
   private final Request request;
@@ -203,6 +203,16 @@
     return aborted;
   }
 
+  /** Returns whether the request may have reached the target. */
+  boolean isSent() {
+    return progress.get() == Progress.SENT;
+  }
+
+  /** Returns whether the target's response was not accepted. */
+  boolean hasInvalidResponse() {
+    return rejectionReason != null;
+  }
+
   private void validate(Response response) {
     TargetResponse answer = wire.readResponse(response.getHeaders());
     String answeredId = answer.requestId();
