Continue a stop after a step that fails or is interrupted

Callers would lose every request in flight: an exception of one step of SteeringHost.stop (the log, state.leave, the heartbeat) or an interrupt ended the stop at once, GracefulStop then released the main thread, and the process exited with seconds of its grace period left. A resource that failed to close kept the later ones open.

Waits continue after an interrupt until their own end. EntryServer closes its parts through a Closer, and the client of the store is closed whatever the host does.

--- a/steering/src/main/java/verbenahatch/steering/EntryServer.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryServer.java
@@ -6,7 +6,6 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
-import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.UriCompliance;
@@ -26,6 +25,7 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 import verbenahatch.http.DispatchGate;
 import verbenahatch.http.WatchedConnectionFactory;
+import verbenahatch.kernel.Closer;
 import verbenahatch.kernel.Json;
 import verbenahatch.kernel.Kernel;
 import verbenahatch.steering.feed.FeedPublisher;
@@ -73,6 +73,7 @@
   private final EntryContext context;
   private final Directory directory;
   private final FeedPublisher feeds;
+  private final Closer closer = new Closer();
   private long idleMillis = INITIAL_IDLE_MILLIS;
 
   EntryServer(SteeringState state, WireProtocol wire, Kernel kernel) throws Exception {
@@ -105,6 +106,10 @@
     state.publish(feeds);
     server.setHandler(new ConnectorDispatcher());
     server.setErrorHandler(new MalformedRequestHandler());
+    closer.register(threads::stop);
+    closer.register(timer::stop);
+    closer.register(pool);
+    closer.register(server::stop);
     server.start();
   }
 
@@ -264,23 +269,12 @@
     callerConnector.close();
   }
 
-  /**
-   * Waits until no request is in flight.
-   *
-   * @param timeoutMillis the longest time to wait, in ms
-   */
-  void awaitIdle(long timeoutMillis) throws InterruptedException {
-    long deadlineNanos = state.clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
-    while (runningRequests() > 0 && deadlineNanos - state.clock.nanoTime() > 0) {
-      TimeUnit.MILLISECONDS.sleep(10);
-    }
+  boolean isIdle() {
+    return runningRequests() == 0;
   }
 
   @Override
   public void close() throws Exception {
-    server.stop();
-    pool.close();
-    timer.stop();
-    threads.stop();
+    closer.close();
   }
 }
--- a/steering/src/main/java/verbenahatch/steering/SteeringHost.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringHost.java
@@ -112,7 +112,7 @@
 
   /** Stops gracefully like {@link #stop} with the current time. */
   @Override
-  public void close() throws Exception {
+  public void close() {
     stop(state.clock.nanoTime());
   }
 
@@ -121,18 +121,18 @@
    * directory expire, waits for requests in flight, and closes. Does nothing if already closed.
    *
    * <p>Nothing here waits for the store, which may be silent: the thread for maintenance removes
-   * this host's record.
+   * this host's record. A step that fails is logged, and the others are still done; an interrupt
+   * does not shorten the stop.
    *
    * @param signalNanos when the stop was requested, in ns of the clock of the process
-   * @throws Exception if a resource cannot be closed
    */
-  public synchronized void stop(long signalNanos) throws Exception {
+  public synchronized void stop(long signalNanos) {
     if (closed) {
       return;
     }
     StopPlan plan = new StopPlan(signalNanos, settings.bounds().stopMillis());
     StopSteps steps = new StopSteps(state.clock, state.events, signalNanos);
-    state.events.log(
+    steps.log(
         SteeringEvent.STOPPING,
         settings.host(),
         server.runningRequests(),
@@ -141,24 +141,19 @@
     steps.run("leave", state::leave);
     server.useStopPlan(plan);
     steps.run("heartbeat", peers::sendHeartbeatNow);
-    steps.run(
-        "serve",
-        () -> TimeUnit.MILLISECONDS.sleep(plan.millisUntilRefusal(state.clock.nanoTime())));
-    steps.run("wait", () -> server.awaitIdle(plan.millisUntilEnd(state.clock.nanoTime())));
-    steps.run(
-        "close-port",
-        () -> {
-          server.stopAccepting();
-          TimeUnit.MILLISECONDS.sleep(LAST_REFUSALS_MILLIS);
-          server.awaitIdle(LAST_REFUSALS_MILLIS);
-        });
+    steps.waitUntil("serve", () -> plan.millisUntilRefusal(state.clock.nanoTime()), () -> false);
+    steps.waitUntil("wait", () -> plan.millisUntilEnd(state.clock.nanoTime()), server::isIdle);
+    steps.run("close-port", server::stopAccepting);
+    steps.waitUntil("last-refusals", LAST_REFUSALS_MILLIS, () -> false);
+    steps.waitUntil("last-requests", LAST_REFUSALS_MILLIS, server::isIdle);
     closed = true;
-    server.logCutRequests();
-    state.events.log(SteeringEvent.STOPPED, settings.host(), server.runningRequests());
+    steps.run("log-cut-requests", server::logCutRequests);
+    steps.log(SteeringEvent.STOPPED, settings.host(), server.runningRequests());
     maintenance.interrupt();
     steps.run("close-peers", peers::close);
     steps.run("close-server", server::close);
     steps.run("close-state", state::close);
     steps.run("close-kernel", kernel::close);
+    steps.restoreInterrupt();
   }
 }
