Decide before each attempt whether it may begin during a stop

Callers of a stopping host saw their connection closed without a response while a target was at work, because uploads that ended late and second attempts were handed to targets until the end of the grace period. The plan of the stop was asked only with the time at which the head was read.

StopPlan.mayBegin now decides at each choice of a target, once more when the first byte is about to be sent (a request may wait for a connection of the pool), and after admission, before the body is read. What cannot end before the process is refused at once with STOPPING, which is 503 with Retry-After as long as nothing of it may have run. A request whose time limit fits always begins. Within the first 3 s an idempotent request begins too, and another one only if 1.4 times its expected time fits; after that only the time limit counts.

A failure response of a target (5xx) is passed on when a retry could not begin any more.

--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -1,8 +1,6 @@
 package verbenahatch.steering;
 
 import java.nio.ByteBuffer;
-import java.util.HashSet;
-import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
@@ -11,11 +9,9 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
-import verbenahatch.kernel.Hashing;
 import verbenahatch.steering.ReleaseTable.VersionRule;
 import verbenahatch.steering.TargetAttempt.Completion;
 import verbenahatch.steering.TargetSelector.Choice;
-import verbenahatch.steering.TargetSelector.Criteria;
 import verbenahatch.steering.TargetSelector.Outcome;
 import verbenahatch.steering.model.SteeringDocument.SteeringRoute;
 import verbenahatch.steering.model.SteeringDocument.SteeringWorkspace;
@@ -34,20 +30,21 @@
   /** With less remaining time than this, a retry is not worthwhile. */
   private static final long MIN_RETRY_MILLIS = 100;
 
+  private static final String STOPPING_TEXT = "the request may not end before the process does";
+
   private final EntryContext context;
   private final CallerChannel channel;
   private final Request request;
   private final CallerRequest caller;
   private final RequestScope scope;
   private final long startNanos;
-  private final Set<Target> attempted = new HashSet<>();
+  private final RequestTargets requestTargets;
   private @Nullable AttemptRecorder recorder;
   private VersionRule versionRule = VersionRule.ANY;
   private byte @Nullable [] body;
   private long deadlineNanos;
   private int attempts;
   private int deliveredAttempts;
-  private long objectHash;
   private long backOffMillis;
   private volatile boolean callerDisconnected;
   private volatile boolean mayHaveRun;
@@ -65,6 +62,7 @@
     HttpURI uri = request.getHttpURI();
     this.scope =
         new RequestScope(uri.getHost(), uri.getPath(), caller.key(), context.state.document());
+    this.requestTargets = new RequestTargets(context, scope, caller);
   }
 
   void start() {
@@ -91,7 +89,7 @@
         caller.waitMillis() >= 0 ? Math.min(allowedMillis, caller.waitMillis()) : allowedMillis;
     deadlineNanos = startNanos + TimeUnit.MILLISECONDS.toNanos(millis);
     if (plan != null && !plan.accepts(startNanos, millis)) {
-      refuse(RefusalReason.STOPPING, "the request may not end before the process does");
+      refuse(RefusalReason.STOPPING, STOPPING_TEXT);
       return;
     }
     new CallerAdmission(context, request, this).start(scope.document(), route, caller.key());
@@ -104,6 +102,10 @@
 
   @Override
   public void onAdmitted(DocumentIndex index) {
+    if (!mayBegin(0)) {
+      refuse(RefusalReason.STOPPING, STOPPING_TEXT);
+      return;
+    }
     channel.readBody(index.document.limits().maxBodyBytes(), this::onBody, this::refuse);
   }
 
@@ -155,7 +157,11 @@
     }
     Outcome outcome = choose();
     if (outcome instanceof Choice choice) {
-      send(choice);
+      if (mayBegin(choice.expectedMillis())) {
+        send(choice);
+      } else {
+        refuse(RefusalReason.STOPPING, STOPPING_TEXT + ". " + lastReason);
+      }
       return;
     }
     VersionRule fallback =
@@ -171,27 +177,23 @@
     refuse(lastFailure, outcome + lastReason);
   }
 
+  private boolean mayBegin(double expectedMillis) {
+    return context.mayBegin(scope.route(), remainingMillis(), expectedMillis);
+  }
+
+  @Override
+  public boolean mayBegin(TargetAttempt attempt) {
+    return mayBegin(attempt.choice.expectedMillis());
+  }
+
   private Outcome choose() {
-    SteeringRoute route = scope.route();
-    ServiceTargets targets = requireRecorder().targets;
-    String objectKey = caller.objectKey();
-    boolean namesObject = objectKey != null;
-    objectHash = Hashing.of(namesObject ? objectKey + targets.name : String.valueOf(caller.id()));
     byte[] bytes = body;
-    Criteria criteria =
-        new Criteria(
-            targets,
-            scope.document().document.services().get(targets.name),
-            objectHash,
-            namesObject,
-            context.state.settings.region(),
-            RequestPolicy.allowedRegions(route, scope.workspace()),
-            bytes == null ? 0 : bytes.length,
-            attempted,
-            versionRule,
-            route.targetLatencyMillis() - elapsedMillis(),
-            Math.min(RequestPolicy.maxLateWaitMillis(route, scope.workspace()), remainingMillis()));
-    return context.state.selector.choose(criteria);
+    return requestTargets.choose(
+        requireRecorder().targets,
+        versionRule,
+        bytes == null ? 0 : bytes.length,
+        elapsedMillis(),
+        remainingMillis());
   }
 
   private double elapsedMillis() {
@@ -208,7 +210,7 @@
             choice.target().record().id(),
             keyWorkspace == null ? null : keyWorkspace.name());
     attempts++;
-    attempted.add(choice.target());
+    requestTargets.exclude(choice.target());
     TargetAttempt.Message message =
         new TargetAttempt.Message(
             request.getMethod(),
@@ -299,7 +301,8 @@
     deliveredAttempts++;
     double millis = requireRecorder().recordResponse(attempt, completion, scope.route().name());
     if (completion.status() < HttpStatus.INTERNAL_SERVER_ERROR_500) {
-      requireRecorder().recordSuccess(attempt, millis, caller.objectKey() != null, objectHash);
+      requireRecorder()
+          .recordSuccess(attempt, millis, caller.objectKey() != null, requestTargets.objectHash());
     } else if (retryFailedResponse(attempt, completion.status())) {
       return;
     }
@@ -316,7 +319,7 @@
   private boolean retryFailedResponse(TargetAttempt attempt, int status) {
     boolean mayRetryFailure =
         scope.route().idempotent() && !attempt.isStreaming() && !channel.isFinished();
-    if (!mayRetryFailure || (inFlightAttempts.isEmpty() && !mayRetry())) {
+    if (!mayRetryFailure || (inFlightAttempts.isEmpty() && !(mayRetry() && mayBegin(0)))) {
       return false;
     }
     lastFailure = RefusalReason.TARGET_FAILED;
--- a/steering/src/main/java/verbenahatch/steering/RequestPolicy.java
+++ b/steering/src/main/java/verbenahatch/steering/RequestPolicy.java
@@ -71,8 +71,7 @@
     if (!route.idempotent() || attempts >= route.maxAttempts()) {
       return -1;
     }
-    double expectedMillis = choice.workMillis() + choice.waitMillis();
-    double delayMillis = Math.max(MIN_HEDGE_DELAY_MILLIS, expectedMillis * HEDGE_FACTOR);
+    double delayMillis = Math.max(MIN_HEDGE_DELAY_MILLIS, choice.expectedMillis() * HEDGE_FACTOR);
     return delayMillis > remainingMillis * MAX_HEDGE_DELAY_FRACTION ? -1 : (long) delayMillis;
   }
 
--- a/steering/src/main/java/verbenahatch/steering/StopPlan.java
+++ b/steering/src/main/java/verbenahatch/steering/StopPlan.java
@@ -3,11 +3,15 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * Decides which requests a host accepts after SIGTERM and how long it waits for them.
+ * Decides which requests a host accepts after SIGTERM, when targets may still begin to work on them
+ * and how long the host waits for them.
  *
- * <p>Callers with a cached answer of the directory go on sending requests for some seconds, and the
- * platform kills the process at the end of the grace period, wherever a request is then. All times
- * count from the signal, however long the steps of the stop take. Immutable.
+ * <p>Callers with a cached answer of the directory go on sending requests for up to 15 s after the
+ * signal, and the platform kills the process at the end of the grace period, wherever a request is
+ * then. A request may reach a target seconds after its head: bodies arrive slowly, admission takes
+ * time, and targets reject requests that then go to another one. The decision at the head is
+ * therefore made again before each attempt. All times count from the signal, however long the steps
+ * of the stop take. Immutable.
  */
 final class StopPlan {
 
@@ -22,6 +26,9 @@
    */
   private static final long SERVE_ALL_MILLIS = 3_000;
 
+  /** Processing times up to this multiple of the expected one are common. */
+  private static final double EXPECTED_TIME_FACTOR = 1.4;
+
   /** Fraction of a short grace period in which new requests are served. */
   private static final double MAX_SERVE_FRACTION = 0.8;
 
@@ -61,6 +68,31 @@
     return elapsedMillis <= serveMillis && elapsedMillis + timeoutMillis <= waitMillis;
   }
 
+  /**
+   * Returns whether a target may begin to work on a request that was accepted.
+   *
+   * <p>A request whose time limit ends before the process does may always begin. Within the time in
+   * which every new request is served, an idempotent request may begin too, as its caller can
+   * repeat it, and another one only if its expected time, with a margin, ends before the process.
+   *
+   * @param nowNanos the current time in ns
+   * @param timeoutMillis the longest time in ms that the request may still take
+   * @param expectedMillis the time in ms that it is expected to take at the target; 0 if no target
+   *     is chosen yet
+   * @param idempotent whether the request may run more than once
+   * @return false if it must be refused
+   */
+  boolean mayBegin(long nowNanos, long timeoutMillis, double expectedMillis, boolean idempotent) {
+    long elapsedMillis = TimeUnit.NANOSECONDS.toMillis(nowNanos - signalNanos);
+    if (elapsedMillis + timeoutMillis <= waitMillis) {
+      return true;
+    }
+    if (elapsedMillis > serveAllMillis) {
+      return false;
+    }
+    return idempotent || elapsedMillis + expectedMillis * EXPECTED_TIME_FACTOR <= waitMillis;
+  }
+
   /** Returns the time in ms until new requests are refused, not negative. */
   long millisUntilRefusal(long nowNanos) {
     return millisUntil(serveMillis, nowNanos);
--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -70,6 +70,14 @@
   /** Receives the completion of an attempt and the parts of a streamed response. */
   interface Listener {
 
+    /**
+     * Called before the first byte of the request is sent, which may be long after the call of
+     * {@link TargetAttempt#send} if the request waits for a connection.
+     *
+     * @return false if the request must not be sent any more
+     */
+    boolean mayBegin(TargetAttempt attempt);
+
     /** Called when the head of a response to this request arrives, before its completion. */
     void answered(TargetAttempt attempt, int status, TargetResponse answer);
 
@@ -164,6 +172,9 @@
   }
 
   private void beginSending() {
+    if (!listener.mayBegin(this) && withdraw()) {
+      aborted = true;
+    }
     progress.compareAndSet(Progress.NOT_SENT, Progress.SENT);
     if (progress.get() == Progress.SENT) {
       return;
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -117,7 +117,13 @@
    */
   record Choice(
       Target target, CacheState cacheState, double costMillis, double waitMillis, double workMillis)
-      implements Outcome {}
+      implements Outcome {
+
+    /** Returns the expected time at the target in ms, including the wait for a slot. */
+    double expectedMillis() {
+      return waitMillis + workMillis;
+    }
+  }
 
   private final Clock clock;
   private final TargetTable table;
--- a/steering/src/test/java/verbenahatch/steering/StopPlanTest.java
+++ b/steering/src/test/java/verbenahatch/steering/StopPlanTest.java
@@ -40,6 +40,67 @@
     assertEquals(accepted, plan.accepts(nanos(atMillis), timeoutMillis));
   }
 
+  /**
+   * Uploads that were accepted early reached their target late in the grace period and were cut off
+   * at its end (issue 30).
+   */
+  @ParameterizedTest
+  @CsvSource({
+    // time limit fits: always
+    "6000, 5500, 100, 5000, false, true",
+    "6000, 3600, 2000, 5000, false, true",
+    // in the first 3 s: what is idempotent, and otherwise what is expected to fit
+    "6000, 3000, 10000, 5000, true, true",
+    "6000, 3000, 10000, 1800, false, true",
+    "6000, 3000, 10000, 1900, false, false",
+    "6000, 0, 10000, 3900, false, true",
+    "6000, 0, 10000, 4100, false, false",
+    "6000, 2900, 10000, 0, false, true",
+    // later: only if the time limit fits
+    "6000, 3100, 10000, 1, true, false",
+    "6000, 3100, 10000, 1, false, false",
+    "6000, 5700, 10, 0, true, false",
+    "10000, 9000, 1000, 1, true, false"
+  })
+  void workBeginsOnlyIfItEndsInTime(
+      long graceMillis,
+      long atMillis,
+      long timeoutMillis,
+      double expectedMillis,
+      boolean idempotent,
+      boolean begins) {
+    StopPlan plan = new StopPlan(SIGNAL_NANOS, graceMillis);
+    assertEquals(begins, plan.mayBegin(nanos(atMillis), timeoutMillis, expectedMillis, idempotent));
+  }
+
+  /**
+   * Callers send for 15 s after SIGTERM and bodies end up to 4 s after their heads. What begins and
+   * may run only once ends before the process, even if it takes 1.4 times the expected time.
+   */
+  @ParameterizedTest
+  @CsvSource({"6000, 840, 4000", "6000, 100, 10000", "10000, 2500, 30000", "700, 50, 1200"})
+  void replayOfCallersThatGoOnSendingCutsOffNoNonIdempotentWork(
+      long graceMillis, long expectedMillis, long timeoutMillis) {
+    StopPlan plan = new StopPlan(SIGNAL_NANOS, graceMillis);
+    int begun = 0;
+    for (long head = 0; head <= 15_000; head += 50) {
+      for (long body = 0; body < Math.min(timeoutMillis, 4_000); body += 50) {
+        long remainingMillis = timeoutMillis - body;
+        long begin = head + body;
+        boolean accepted = plan.accepts(nanos(head), timeoutMillis);
+        if (accepted && plan.mayBegin(nanos(begin), remainingMillis, expectedMillis, false)) {
+          begun++;
+          long workMillis = (long) Math.min(remainingMillis, 1.4 * expectedMillis);
+          assertTrue(begin + workMillis < graceMillis, head + " ms, body of " + body + " ms");
+        }
+        if (accepted && begin + remainingMillis < plan.millisUntilEnd(SIGNAL_NANOS)) {
+          assertTrue(plan.mayBegin(nanos(begin), remainingMillis, expectedMillis, false));
+        }
+      }
+    }
+    assertTrue(begun > 0, "nothing begins");
+  }
+
   /** A step of the stop that took long moved its end behind the end of the grace period. */
   @ParameterizedTest
   @ValueSource(longs = {0, 700, 4_500, 6_000, 10_000})
