Bound the head of a response from the store or another host

Seen in a test: a server that sends a status line, a header or a trailer without end makes the process that called it keep all of it; with a heap of 512 MB the test itself ended with OutOfMemoryErrors.

Cause: BlockingClient bounds the body of a response, but the HTTP library sets no limit on its head and trailers by itself. Calls to the store take up to 26 s, which is long enough to fill the heap.

--- a/http/src/main/java/verbenahatch/http/BlockingClient.java
+++ b/http/src/main/java/verbenahatch/http/BlockingClient.java
@@ -21,6 +21,9 @@
 
   private static final int MAX_THREADS = 8;
 
+  /** Longest head or trailer of a response in bytes; the library sets no limit by itself. */
+  private static final int MAX_RESPONSE_HEAD_BYTES = 64 * 1024;
+
   /** Describes how a call ended. */
   public sealed interface Outcome {
 
@@ -53,7 +56,8 @@
    * @param name the name of the client's threads
    * @param connectMillis the connect timeout in milliseconds
    * @param idleMillis the time in milliseconds after which an idle connection is closed
-   * @param maxResponseBytes the maximum length of a response in bytes; a longer one is a failure
+   * @param maxResponseBytes the maximum length of a response body in bytes; a longer one is a
+   *     failure
    * @throws Exception if the HTTP client cannot start
    */
   public BlockingClient(String name, long connectMillis, long idleMillis, int maxResponseBytes)
@@ -69,6 +73,7 @@
     client.setConnectTimeout(connectMillis);
     client.setIdleTimeout(idleMillis);
     client.setUserAgentField(null);
+    client.setMaxResponseHeadersSize(MAX_RESPONSE_HEAD_BYTES);
     client.start();
     client.getContentDecoderFactories().clear();
   }
