Deliver a response that comes before the body is read

Callers of long uploads waited until their target had read the whole body, although it had responded; if it never read the rest, they got status 504 at the deadline in place of its response.

Cause: the attempt ended with the exchange of the HTTP library, which also waits for the end of the upload.

The attempt now ends with its response. An upload that goes on is aborted, because the memory of its body is released to other requests at that time. A refusal that comes early is thus also repeated at once.

--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -94,6 +94,7 @@
   private final AtomicBoolean completed = new AtomicBoolean();
   private final ByteArrayOutputStream buffered = new ByteArrayOutputStream();
   private volatile boolean streaming;
+  private volatile boolean uploaded;
   private volatile boolean aborted;
   private volatile @Nullable String rejectionReason;
 
@@ -160,9 +161,32 @@
         .onRequestBegin(begun -> beginSending())
         .onResponseHeaders(this::validate)
         .onResponseContentAsync(this::onContent)
+        .onRequestSuccess(sent -> uploaded = true)
+        .onResponseSuccess(this::succeed)
         .send(this::complete);
   }
 
+  /**
+   * Completes the attempt at the end of the response, also if the target has not read the body.
+   *
+   * <p>The library reports the end of a request only when its body was sent too, which a target
+   * that has responded may delay until the deadline.
+   */
+  private void succeed(Response response) {
+    if (rejectionReason != null || !completed.compareAndSet(false, true)) {
+      return;
+    }
+    if (!uploaded) {
+      // The target has no use for the rest, and its memory is free for other bodies.
+      request.abort(new IOException("the target responded before it had read the body"));
+    }
+    TargetResponse answer = wire.readResponse(response.getHeaders());
+    listener.completed(
+        this,
+        new Completion.Responded(
+            response.getStatus(), response.getHeaders(), answer, buffered.toByteArray()));
+  }
+
   private void beginSending() {
     progress.compareAndSet(Progress.NOT_SENT, Progress.SENT);
     if (progress.get() == Progress.SENT) {
@@ -264,21 +288,11 @@
     return streaming;
   }
 
+  /** Completes an attempt without a response; does nothing after {@link #succeed}. */
   private void complete(Result result) {
     if (!completed.compareAndSet(false, true)) {
       return;
     }
-    Throwable failure = result.getResponseFailure();
-    boolean isComplete = failure == null && result.getResponse() != null && rejectionReason == null;
-    if (isComplete && result.getResponse().getStatus() > 0) {
-      Response response = result.getResponse();
-      TargetResponse answer = wire.readResponse(response.getHeaders());
-      listener.completed(
-          this,
-          new Completion.Responded(
-              response.getStatus(), response.getHeaders(), answer, buffered.toByteArray()));
-      return;
-    }
     Throwable cause = result.getFailure();
     String rejection = rejectionReason;
     String reason = rejection != null ? rejection : String.valueOf(cause);
