Answer requests that are being read at the end of a stop

Callers lost requests without a response: once no request was in flight, a stop closed its port, waited 100 to 200 ms and closed all connections. A request of which only a part had arrived, or that a busy process had not dispatched yet, was cut off although time was left.

A stop now closes the port and then each connection on which the server waits for a request and nothing has arrived; it polls the socket first, so that a request that has arrived but was not read is served. Only one of input and close can claim the wait, so a request that the server has begun to read is never closed. The output is closed first, and input is discarded until the caller closes too, as closing a socket with unread bytes resets it. Other connections may finish until the end of the plan. A stop waits up to 50 ms for that, in place of up to 100 ms for last requests.

--- a/http/src/main/java/verbenahatch/http/ReadAheadEndPoint.java
+++ b/http/src/main/java/verbenahatch/http/ReadAheadEndPoint.java
@@ -4,6 +4,8 @@
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.BooleanSupplier;
 import org.eclipse.jetty.io.AbstractEndPoint;
 import org.eclipse.jetty.io.Connection;
 import org.eclipse.jetty.io.EndPoint;
@@ -29,6 +31,7 @@
   private final EndPoint wrapped;
   private final Executor executor;
   private @Nullable ByteBuffer ahead;
+  private volatile @Nullable ServerInterest interest;
 
   /**
    * Wraps an endpoint.
@@ -41,6 +44,45 @@
     this.executor = executor;
   }
 
+  /**
+   * Passes on the server's wait for input, unless {@link #closeIfIdle} has ended it.
+   *
+   * <p>Input and the close of an idle connection may come at the same time; only the one that
+   * claims the wait reaches the server.
+   */
+  private static final class ServerInterest implements Callback {
+
+    private final Callback server;
+    private final AtomicBoolean claimed = new AtomicBoolean();
+
+    ServerInterest(Callback server) {
+      this.server = server;
+    }
+
+    boolean claim() {
+      return claimed.compareAndSet(false, true);
+    }
+
+    @Override
+    public void succeeded() {
+      if (claim()) {
+        server.succeeded();
+      }
+    }
+
+    @Override
+    public void failed(Throwable cause) {
+      if (claim()) {
+        server.failed(cause);
+      }
+    }
+
+    @Override
+    public InvocationType getInvocationType() {
+      return server.getInvocationType();
+    }
+  }
+
   /** Describes the result of {@link #readAhead}. */
   enum ReadResult {
     /** There is no further input at present. */
@@ -89,6 +131,44 @@
     return storedBytes() > 0;
   }
 
+  /**
+   * Closes the connection in order if the server waits for a request of which nothing arrived.
+   *
+   * <p>Input that has arrived is given to the server instead. After the close the server reads and
+   * discards what the caller still sends, until the caller closes the connection too.
+   *
+   * @param betweenRequests returns whether the server has read nothing of a next request
+   * @return whether the connection was closed for output
+   */
+  boolean closeIfIdle(BooleanSupplier betweenRequests) {
+    ServerInterest current = interest;
+    if (current == null || current.claimed.get() || !betweenRequests.getAsBoolean()) {
+      return false;
+    }
+    if (hasInput()) {
+      if (wrapped instanceof AbstractEndPoint abstractEndPoint) {
+        abstractEndPoint.getFillInterest().fillable();
+      }
+      return false;
+    }
+    if (!current.claim()) {
+      return false;
+    }
+    IOException cause = new IOException("the host stops");
+    cancelAwait(cause);
+    current.server.failed(cause);
+    return true;
+  }
+
+  private boolean hasInput() {
+    try {
+      return readAhead() != ReadResult.WAITING || hasStoredBytes();
+    } catch (IOException e) {
+      // The server detects the broken connection when it reads.
+      return true;
+    }
+  }
+
   /** Registers a callback for input of the socket, regardless of stored bytes. */
   boolean awaitInput(Callback callback) {
     return wrapped.tryFillInterested(callback);
@@ -126,7 +206,9 @@
     if (hasStoredBytes()) {
       executor.execute(callback::succeeded);
     } else {
-      wrapped.fillInterested(callback);
+      ServerInterest registered = new ServerInterest(callback);
+      interest = registered;
+      wrapped.fillInterested(registered);
     }
   }
 
@@ -136,7 +218,14 @@
       executor.execute(callback::succeeded);
       return true;
     }
-    return wrapped.tryFillInterested(callback);
+    ServerInterest previous = interest;
+    ServerInterest registered = new ServerInterest(callback);
+    interest = registered;
+    if (wrapped.tryFillInterested(registered)) {
+      return true;
+    }
+    interest = previous;
+    return false;
   }
 
   @Override
--- a/steering/src/main/java/verbenahatch/steering/EntryServer.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryServer.java
@@ -7,6 +7,7 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
@@ -19,11 +20,13 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.server.internal.HttpConnection;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
 import verbenahatch.http.DispatchGate;
+import verbenahatch.http.IdleCaller;
 import verbenahatch.http.WatchedConnectionFactory;
 import verbenahatch.kernel.Closer;
 import verbenahatch.kernel.Json;
@@ -269,6 +272,29 @@
     callerConnector.close();
   }
 
+  /**
+   * Closes the connections of callers on which no request is in progress.
+   *
+   * @return whether every connection is closed, or closed for output
+   */
+  boolean closeIdleConnections() {
+    boolean allClosed = true;
+    for (EndPoint endPoint : callerConnector.getConnectedEndPoints()) {
+      allClosed &= endPoint.isOutputShutdown() || closeIfIdle(endPoint);
+    }
+    return allClosed;
+  }
+
+  private static boolean closeIfIdle(EndPoint endPoint) {
+    return endPoint.getConnection() instanceof HttpConnection connection
+        && IdleCaller.closeIfIdle(
+            connection, () -> connection.getParser().isState(HttpParser.State.START));
+  }
+
+  boolean hasNoConnections() {
+    return callerConnector.getConnectedEndPoints().isEmpty();
+  }
+
   boolean isIdle() {
     return runningRequests() == 0;
   }
--- a/steering/src/main/java/verbenahatch/steering/SteeringHost.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringHost.java
@@ -23,6 +23,9 @@
   /** Time for requests that arrived while the port was closed to get their refusal. */
   private static final long LAST_REFUSALS_MILLIS = 100;
 
+  /** Time for callers to close their ends, so that no unread bytes reset a connection. */
+  private static final long LINGER_MILLIS = 50;
+
   private static final int INCARNATION_BYTES = 6;
 
   private final Kernel kernel;
@@ -52,12 +55,12 @@
     new SecureRandom().nextBytes(random);
     String incarnation = HexFormat.of().formatHex(random);
     kernel = new Kernel(clock, events);
-    lastTickNanos = clock.nanoTime();
     state = new SteeringState(clock, events, settings, store, incarnation);
     state.start();
     server = new EntryServer(state, wire, kernel);
     peers = new PeerLink(state, settings);
     kernel.state().register("steering", this::view);
+    lastTickNanos = clock.nanoTime();
     kernel.repeat("steering", TICK, this::tick);
     maintenance = new Thread(this::maintain, "maintenance");
     maintenance.setDaemon(true);
@@ -145,7 +148,10 @@
     steps.waitUntil("wait", () -> plan.millisUntilEnd(state.clock.nanoTime()), server::isIdle);
     steps.run("close-port", server::stopAccepting);
     steps.waitUntil("last-refusals", LAST_REFUSALS_MILLIS, () -> false);
-    steps.waitUntil("last-requests", LAST_REFUSALS_MILLIS, server::isIdle);
+    long closeMillis = Math.max(LAST_REFUSALS_MILLIS, plan.millisUntilEnd(state.clock.nanoTime()));
+    steps.waitUntil(
+        "close-connections", closeMillis, () -> server.closeIdleConnections() && server.isIdle());
+    steps.waitUntil("linger", LINGER_MILLIS, server::hasNoConnections);
     closed = true;
     steps.run("log-cut-requests", server::logCutRequests);
     steps.log(SteeringEvent.STOPPED, settings.host(), server.runningRequests());
