Bound the head of a response of a target of the gateway

A target that sent a status line or a header without end was read until the request timed out, and all of it was kept.

Cause: the HTTP library sets no limit by itself, as for the calls to the store.

TargetClientTest on the code before: 3 of 3 cases failed (504 at the timeout in place of 502), in one run; all 3 pass with a limit of 64 KB.

--- a/gateway/src/main/java/verbenahatch/gateway/TargetClient.java
+++ b/gateway/src/main/java/verbenahatch/gateway/TargetClient.java
@@ -36,6 +36,9 @@
 
   private static final int MAX_QUEUED = 1_024;
 
+  /** Longest head or trailer of a response in bytes; the library sets no limit by itself. */
+  private static final int MAX_RESPONSE_HEAD_BYTES = 64 * 1024;
+
   private final HttpClient pooled;
   private final HttpClient singleUse;
 
@@ -69,6 +72,7 @@
     client.setConnectTimeout(CONNECT_TIMEOUT_MILLIS);
     client.setIdleTimeout(CONNECTION_IDLE_MILLIS);
     client.setMaxRequestsQueuedPerDestination(MAX_QUEUED);
+    client.setMaxResponseHeadersSize(MAX_RESPONSE_HEAD_BYTES);
     return client;
   }
 
