Repeat a request only if its current route allows it

A request that may have run at a first target was sent to a second one although a new document had just made its route one whose requests run once at most (TWICE).

Cause: the decision to repeat used the route under which the first attempt was sent; the document is refreshed after it, before the next attempt.

FaultyTargetTest.requestIsNotRepeatedOnceItsRouteForbidsIt on the code before: 2 of 2 runs failed (2 requests reached targets in place of 1); 3 of 3 runs passed with the fix. The route is now checked again after each refresh.

--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -147,6 +147,10 @@
       refuse(refusal, "the document changed while the request waited");
       return;
     }
+    if (mayHaveRun && !scope.route().idempotent()) {
+      refuse(lastFailure, lastReason + ", the document no longer allows to repeat it");
+      return;
+    }
     if (recorder == null) {
       String name = scope.document().nextService(scope.route());
       recorder = new AttemptRecorder(context, context.state.targets.service(name));
