Begin no attempt of the gateway that could outlast its drain

Once a stopping gateway refuses new requests, it waits for those in flight for at most drainSeconds. A request whose target shed it in that time was sent to a second target, whatever its deadline, and the end of the drain cut that attempt off: the caller got target-failed with the outcome unknown.

DrainPlan now decides immediately before the first byte of each attempt, so that it also covers waits for a slot, a claim or a connection. A request whose deadline is after the end of the drain gets host-stopping, as not run unless an earlier attempt may have run. With drainSeconds at least as long as the timeouts of all routes the deadline of every accepted request fits, so only longer timeouts are affected.

--- a/gateway/src/main/java/verbenahatch/gateway/DataPath.java
+++ b/gateway/src/main/java/verbenahatch/gateway/DataPath.java
@@ -36,6 +36,7 @@
   private final Counter refusals;
   private volatile Map<String, Double> weights = Map.of();
   private volatile RouteTable routes = new RouteTable(List.of());
+  private volatile @Nullable DrainPlan drainPlan;
 
   DataPath(
       GatewayContext context,
@@ -99,6 +100,17 @@
     refusals.labelValues(refusal.code(), route == null ? "" : route.name()).inc();
   }
 
+  /** Begins a drain, which restricts the attempts that may begin. */
+  void drain(DrainPlan plan) {
+    drainPlan = plan;
+  }
+
+  /** Returns whether an attempt of a request with a deadline, in ns, may begin. */
+  boolean mayBegin(long deadlineNanos) {
+    DrainPlan plan = drainPlan;
+    return plan == null || plan.mayBegin(deadlineNanos);
+  }
+
   GatewayContext context() {
     return context;
   }
--- a/gateway/src/main/java/verbenahatch/gateway/Exchange.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Exchange.java
@@ -297,7 +297,7 @@
   }
 
   /**
-   * Checks deadline, claim, freshness and key immediately before the first byte is sent.
+   * Checks deadline, drain, claim, freshness and key immediately before the first byte is sent.
    *
    * @return why the request must not be sent, null if it may be
    */
@@ -305,6 +305,9 @@
     if (callerDisconnected || context.clock().nanoTime() - deadlineNanos >= 0) {
       return Refusal.DEADLINE_UNREACHABLE;
     }
+    if (!dataPath.mayBegin(deadlineNanos)) {
+      return Refusal.HOST_STOPPING;
+    }
     Claim currentClaim = claim;
     if (currentClaim != null && !currentClaim.isHeld(context.clock().nanoTime())) {
       return Refusal.DEADLINE_UNREACHABLE;
--- a/gateway/src/main/java/verbenahatch/gateway/GatewayServer.java
+++ b/gateway/src/main/java/verbenahatch/gateway/GatewayServer.java
@@ -199,12 +199,14 @@
   }
 
   /**
-   * Refuses new requests as not run, stops accepting connections and waits for requests in flight.
+   * Refuses new requests as not run, and further attempts of others that may not end in time, stops
+   * accepting connections and waits for requests in flight.
    *
    * @param maxWait the maximum time to wait
    * @throws InterruptedException if the thread is interrupted
    */
   public void finishDrain(Duration maxWait) throws InterruptedException {
+    dataPath.drain(new DrainPlan(context.clock().nanoTime() + maxWait.toNanos()));
     refusingRequests = true;
     connector.shutdown();
     try {
