Put a stop in force when its signal arrives, also during the start

A host that got SIGTERM while it started went on as if nothing had happened until its start had ended: it reported itself as ready, named itself in the directory and gave requests to targets without a plan of the stop. Callers lost the requests that the end of the process cut off.

The signal now goes to a StopSignal that the host asks for each request, for its readiness and for the directory, before its constructor has ended.

--- a/steering/src/main/java/verbenahatch/steering/EntryContext.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryContext.java
@@ -34,9 +34,6 @@
   final InFlightRequests inFlight = new InFlightRequests();
   final AtomicLong bodyMemory = new AtomicLong();
 
-  /** Decides which requests are accepted during a stop; null before. */
-  volatile @Nullable StopPlan stopPlan;
-
   private final Map<String, RetryBudget> retryBudgets = new ConcurrentHashMap<>();
 
   EntryContext(
@@ -54,6 +51,11 @@
     this.requestLog = requestLog;
   }
 
+  /** Returns the plan of the stop of this host, null if none was requested. */
+  @Nullable StopPlan stopPlan() {
+    return state.stopSignal.plan();
+  }
+
   /**
    * Returns whether a target may begin to work on a request; always true before a stop.
    *
@@ -63,7 +65,7 @@
    *     is chosen yet
    */
   boolean mayBegin(SteeringRoute route, long remainingMillis, double expectedMillis) {
-    StopPlan plan = stopPlan;
+    StopPlan plan = stopPlan();
     return plan == null
         || plan.mayBegin(
             state.clock.nanoTime(), remainingMillis, expectedMillis, route.idempotent());
--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -66,7 +66,7 @@
   }
 
   void start() {
-    StopPlan plan = context.stopPlan;
+    StopPlan plan = context.stopPlan();
     if (plan != null && !plan.accepts(startNanos, 0)) {
       refuse(RefusalReason.STOPPING, "stopping");
       return;
--- a/steering/src/main/java/verbenahatch/steering/EntryServer.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryServer.java
@@ -258,16 +258,11 @@
   }
 
   /**
-   * Refuses new requests as not run from the time on that the plan of a stop gives.
+   * Accepts no further connections from callers.
    *
-   * <p>Connections are accepted further: closing the port or idle connections would reset requests
-   * that their callers have sent already and that could still get this refusal.
+   * <p>A stop calls this last: closing the port or idle connections earlier would reset requests
+   * that their callers have sent already and that could still get a refusal as not run.
    */
-  void useStopPlan(StopPlan plan) {
-    context.stopPlan = plan;
-  }
-
-  /** Accepts no further connections from callers. */
   void stopAccepting() {
     callerConnector.close();
   }
--- a/steering/src/main/java/verbenahatch/steering/SteeringHost.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringHost.java
@@ -1,5 +1,7 @@
 package verbenahatch.steering;
 
+import static java.util.Objects.requireNonNull;
+
 import java.security.SecureRandom;
 import java.time.Duration;
 import java.util.HexFormat;
@@ -50,12 +52,34 @@
   public SteeringHost(
       SteeringSettings settings, PlatformStore store, WireProtocol wire, Clock clock, Events events)
       throws Exception {
+    this(settings, store, wire, clock, events, new StopSignal(settings.bounds().stopMillis()));
+  }
+
+  /**
+   * Starts a host whose stop may be requested before this constructor has ended.
+   *
+   * @param settings the validated settings
+   * @param store the platform's store
+   * @param wire the fields and messages of the platform
+   * @param clock the clock of the process
+   * @param events the log of the process
+   * @param stopSignal from whose arrival on the host refuses what may not end in time
+   * @throws Exception if an address cannot be used
+   */
+  public SteeringHost(
+      SteeringSettings settings,
+      PlatformStore store,
+      WireProtocol wire,
+      Clock clock,
+      Events events,
+      StopSignal stopSignal)
+      throws Exception {
     this.settings = settings;
     byte[] random = new byte[INCARNATION_BYTES];
     new SecureRandom().nextBytes(random);
     String incarnation = HexFormat.of().formatHex(random);
     kernel = new Kernel(clock, events);
-    state = new SteeringState(clock, events, settings, store, incarnation);
+    state = new SteeringState(clock, events, settings, store, incarnation, stopSignal);
     state.start();
     server = new EntryServer(state, wire, kernel);
     peers = new PeerLink(state, settings);
@@ -133,7 +157,8 @@
     if (closed) {
       return;
     }
-    StopPlan plan = new StopPlan(signalNanos, settings.bounds().stopMillis());
+    state.stopSignal.arrive(signalNanos);
+    StopPlan plan = requireNonNull(state.stopSignal.plan());
     StopSteps steps = new StopSteps(state.clock, state.events, signalNanos);
     steps.log(
         SteeringEvent.STOPPING,
@@ -142,7 +167,6 @@
         steps.elapsedMillis(),
         TimeUnit.NANOSECONDS.toMillis(state.clock.nanoTime() - lastTickNanos));
     steps.run("leave", state::leave);
-    server.useStopPlan(plan);
     steps.run("heartbeat", peers::sendHeartbeatNow);
     steps.waitUntil("serve", () -> plan.millisUntilRefusal(state.clock.nanoTime()), () -> false);
     steps.waitUntil("wait", () -> plan.millisUntilEnd(state.clock.nanoTime()), server::isIdle);
--- a/steering/src/main/java/verbenahatch/steering/SteeringState.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringState.java
@@ -87,6 +87,7 @@
   private final Set<String> evacuated = new TreeSet<>();
   private final HostRecord self;
   private final long startNanos;
+  final StopSignal stopSignal;
   private volatile boolean leaving;
   private volatile boolean registered;
   private long nextWriteNanos;
@@ -97,11 +98,13 @@
       Events events,
       SteeringSettings settings,
       PlatformStore store,
-      String incarnation) {
+      String incarnation,
+      StopSignal stopSignal) {
     this.clock = clock;
     this.events = events;
     this.settings = settings;
     this.store = store;
+    this.stopSignal = stopSignal;
     this.startNanos = clock.nanoTime();
     this.nextWriteNanos = startNanos;
     hosts = new HostTable(clock, events, settings, incarnation);
@@ -305,11 +308,12 @@
 
   /** Returns whether this host can serve callers. */
   boolean isReady() {
-    return !leaving && hasReadAllFeeds() && targets.size() > 0;
+    return !isLeaving() && hasReadAllFeeds() && targets.size() > 0;
   }
 
+  /** Returns whether this host stops, also if the stop was requested while it starts. */
   boolean isLeaving() {
-    return leaving;
+    return leaving || stopSignal.plan() != null;
   }
 
   void leave() {
