Send a request to each target id once

A caller got 503 for a request that may run once, and the request ran (REFUSED).

Cause: the targets that a request was sent to are told apart by their entries. A target whose entry was removed and written again while a request was under way counts as another one, so after its refusal the request was sent to it again over the same connection. A late copy of the refusal bears the id of that request and was taken for the response to the second attempt.

FaultyTargetTest.refusedRequestIsNotSentToTheSameTargetAgain on the code before: 3 of 3 runs failed ("503 2" in place of "503 1": status 503 and two deliveries, the second of which ran). 3 of 3 runs passed with the fix.

The selector now compares the ids of targets, which stay the same when a target registers again.

--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -62,7 +62,8 @@
    * @param region the region of this host
    * @param allowedRegions the regions in which the request may run; empty if it may run in all
    * @param bodyBytes the length of the request's body in bytes
-   * @param attempted the targets to which the request was sent already
+   * @param attempted the targets to which the request was sent already; no entry with the id of one
+   *     of them is chosen
    * @param rule the versions that the request may use
    * @param latencyBudgetMillis the time in ms until the target latency is exceeded
    * @param maxWaitMillis the time in ms for which the request may wait for a slot even if it is
@@ -306,7 +307,7 @@
     if (!criteria.allowedRegions.isEmpty() && !criteria.allowedRegions.contains(target.region)) {
       return false;
     }
-    if (criteria.attempted.contains(target) || !criteria.rule.allows(record.version())) {
+    if (wasAttempted(record, criteria.attempted) || !criteria.rule.allows(record.version())) {
       return false;
     }
     if (target.isProbing() && target.inFlight.get() > 0) {
@@ -315,6 +316,21 @@
     return !target.isCold(now) || mayWarmUp(target, criteria, now);
   }
 
+  /**
+   * Returns whether a request was sent to a target under its present entry or an earlier one.
+   *
+   * <p>A target that registers again gets a new entry but keeps its connections, on which late
+   * responses to the first attempt may arrive.
+   */
+  private static boolean wasAttempted(TargetRecord record, Set<Target> attempted) {
+    for (Target target : attempted) {
+      if (target.record().id().equals(record.id())) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   private boolean mayWarmUp(Target target, Criteria criteria, long now) {
     return hosts.isWarmUpOwner(target.idHash, target.region)
         && target.warmUpBucket(warmUpRate(criteria), now).hasToken(now);
