Refuse a body that a stop cuts off as not run

Nothing of it was passed on, so the host now says that it stops (503), which callers may repeat elsewhere.

--- a/steering/src/main/java/verbenahatch/steering/CallerChannel.java
+++ b/steering/src/main/java/verbenahatch/steering/CallerChannel.java
@@ -86,7 +86,9 @@
               @Override
               public void onFailure(RefusalReason reason, String detail) {
                 bodyRead = reason == RefusalReason.BODY_INCOMPLETE;
-                onRefused.accept(reason, detail);
+                boolean cutByStop = bodyRead && context.stopPlan() != null;
+                // A caller does not repeat a request whose body this host calls incomplete.
+                onRefused.accept(cutByStop ? RefusalReason.STOPPING : reason, detail);
               }
             });
     bodyReader = reader;
