--- a/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
+++ b/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
@@ -12,9 +12,6 @@
  */
 final class AttemptRecorder {
 
-  /** A response slower than this multiple of the cold time counts as failed for its version. */
-  private static final double SLOW_VERSION_FACTOR = 2.5;
-
   final ServiceTargets targets;
 
   private final EntryContext context;
@@ -108,9 +105,10 @@
     target.recordLoad(completion.answer().load(), now);
     double millis = (now - attempt.startNanos) / 1e6;
     boolean failed = completion.status() >= HttpStatus.INTERNAL_SERVER_ERROR_500;
-    boolean slow = millis > targets.times.coldMillis() * SLOW_VERSION_FACTOR;
-    boolean countsAsBad = failed || (slow && !target.isCold(now));
-    context.state.releases.record(targets.name, route, target.record().version(), countsAsBad);
+    recordEvidence(
+        target,
+        route,
+        VersionEvidence.ofResponse(failed, millis, targets.times.coldMillis(), target.isCold(now)));
     count(failed ? "failed" : "served");
     if (failed) {
       target.recordFailure(now);
@@ -167,6 +165,13 @@
     }
   }
 
+  private void recordEvidence(Target target, String route, VersionEvidence evidence) {
+    if (evidence != VersionEvidence.NONE) {
+      boolean bad = evidence == VersionEvidence.BAD;
+      context.state.releases.record(targets.name, route, target.record().version(), bad);
+    }
+  }
+
   /** Records what ended an attempt, so that a status made by this host can be explained. */
   private void recordEnd(TargetAttempt attempt, Completion.Failed completion) {
     AttemptEnd end =
@@ -192,11 +197,15 @@
     boolean timedOut = completion.timedOut();
     count(timedOut ? "timed-out" : "broken");
     recordEnd(attempt, completion);
+    Target target = attempt.choice.target();
     if (attempt.isAborted()) {
+      double millis = (now() - attempt.startNanos) / 1e6;
+      boolean cold = target.isCold(now());
+      recordEvidence(
+          target, route, VersionEvidence.ofAborted(millis, attempt.choice.expectedMillis(), cold));
       return;
     }
-    Target target = attempt.choice.target();
-    context.state.releases.record(targets.name, route, target.record().version(), true);
+    recordEvidence(target, route, VersionEvidence.BAD);
     target.recordFailure(now());
     if (timedOut) {
       context.pool.closeIdle(target.record());
--- a/steering/src/main/java/verbenahatch/steering/RequestPolicy.java
+++ b/steering/src/main/java/verbenahatch/steering/RequestPolicy.java
@@ -65,13 +65,18 @@
     return priority <= URGENT_PRIORITY ? maxWaitMillis * URGENT_WAIT_FACTOR : maxWaitMillis;
   }
 
+  /** Returns the time in ms after which an attempt takes unusually long, from its expected time. */
+  static double overdueMillis(double expectedMillis) {
+    return Math.max(MIN_HEDGE_DELAY_MILLIS, expectedMillis * HEDGE_FACTOR);
+  }
+
   /** Returns the delay in ms after which a request is hedged; -1 if it is not hedged. */
   static long hedgeDelayMillis(
       Choice choice, SteeringRoute route, int attempts, long remainingMillis) {
     if (!route.idempotent() || attempts >= route.maxAttempts()) {
       return -1;
     }
-    double delayMillis = Math.max(MIN_HEDGE_DELAY_MILLIS, choice.expectedMillis() * HEDGE_FACTOR);
+    double delayMillis = overdueMillis(choice.expectedMillis());
     return delayMillis > remainingMillis * MAX_HEDGE_DELAY_FRACTION ? -1 : (long) delayMillis;
   }
 
