--- a/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
+++ b/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
@@ -80,10 +80,17 @@
   /**
    * Records a response that states that the request did not run.
    *
-   * @param target the target that was asked
-   * @param completion the response
+   * @param attempt the attempt
+   * @param completion its response
    */
-  void recordRejection(Target target, Completion.Responded completion) {
+  void recordRejection(TargetAttempt attempt, Completion.Responded completion) {
+    Target target = attempt.choice.target();
+    context.requestLog.log(
+        SteeringEvent.TARGET_REFUSED,
+        attempt.requestId,
+        target.record().id(),
+        completion.status(),
+        attempt.refusalPort());
     target.recordLoad(completion.answer().load(), now());
     if (completion.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
       count("misdirected");
--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -287,7 +287,7 @@
   private void onResponse(TargetAttempt attempt, Completion.Responded completion) {
     boolean misdirected = completion.status() == HttpStatus.MISDIRECTED_REQUEST_421;
     if (completion.answer().notRun() || misdirected) {
-      requireRecorder().recordRejection(attempt.choice.target(), completion);
+      requireRecorder().recordRejection(attempt, completion);
       if (!misdirected) {
         deliveredAttempts++;
       }
--- a/steering/src/main/java/verbenahatch/steering/SteeringEvent.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringEvent.java
@@ -57,7 +57,9 @@
       "request-cut id={} route={} target={} elapsed_ms={} at_target_ms={} missing={}"),
   /** An attempt was sent and got no complete, valid response. */
   ATTEMPT_UNANSWERED(
-      1123, Level.INFO, "attempt-unanswered id={} target={} ran_ms={} ended_by={} reason={}");
+      1123, Level.INFO, "attempt-unanswered id={} target={} ran_ms={} ended_by={} reason={}"),
+  /** A target stated that it did not run a request. */
+  TARGET_REFUSED(1125, Level.INFO, "target-refused id={} target={} status={} local_port={}");
 
   private final Definition definition;
 
--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -2,12 +2,14 @@
 
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
 import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.Connection;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.Result;
@@ -104,6 +106,7 @@
   private volatile boolean streaming;
   private volatile boolean uploaded;
   private volatile boolean aborted;
+  private volatile int refusalPort = -1;
   private volatile @Nullable String rejectionReason;
 
   /** Tells whether the request may reach the target; only NOT_SENT changes to another value. */
@@ -248,6 +251,18 @@
     return rejectionReason != null;
   }
 
+  /** Returns the local TCP port of the connection that carried a refusal, -1 if none did. */
+  int refusalPort() {
+    return refusalPort;
+  }
+
+  private static int localPort(@Nullable Connection connection) {
+    return connection != null
+            && connection.getLocalSocketAddress() instanceof InetSocketAddress address
+        ? address.getPort()
+        : -1;
+  }
+
   private void validate(Response response) {
     TargetResponse answer = wire.readResponse(response.getHeaders());
     String answeredId = answer.requestId();
@@ -269,6 +284,9 @@
       response.abort(new IOException(reason));
       return;
     }
+    if (isRefusal(response, answer)) {
+      refusalPort = localPort(request.getConnection());
+    }
     listener.answered(this, response.getStatus(), answer);
   }
 
