--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -192,12 +192,28 @@
       request.abort(new IOException("the target responded before it had read the body"));
     }
     TargetResponse answer = wire.readResponse(response.getHeaders());
+    if (!ConnectionReuse.isAllowedAfter(response.getStatus(), answer)) {
+      closeConnection();
+    }
     listener.completed(
         this,
         new Completion.Responded(
             response.getStatus(), response.getHeaders(), answer, buffered.toByteArray()));
   }
 
+  /**
+   * Closes the connection of the response.
+   *
+   * <p>The library reports a response before it returns the connection to the pool, so no other
+   * request gets it, not even a retry that starts at the completion of this attempt.
+   */
+  private void closeConnection() {
+    Connection connection = request.getConnection();
+    if (connection != null) {
+      connection.close();
+    }
+  }
+
   private void beginSending() {
     if (!listener.mayBegin(this) && withdraw()) {
       aborted = true;
