--- a/steering/src/main/java/verbenahatch/steering/CallerChannel.java
+++ b/steering/src/main/java/verbenahatch/steering/CallerChannel.java
@@ -32,10 +32,13 @@
   private final AtomicBoolean finished = new AtomicBoolean();
   private volatile @Nullable BodyReader bodyReader;
   private volatile boolean bodyRead;
-  private volatile boolean streaming;
+  private volatile @Nullable StreamedResponse streamed;
   private volatile @Nullable CallerWatch watch;
   private volatile Scheduler.@Nullable Task timeout;
 
+  /** Describes a streamed response; {@code target} is the id of the target that sends it. */
+  private record StreamedResponse(String target, ResponseDelimiter delimiter) {}
+
   CallerChannel(EntryContext context, Request request, Response response, Callback callback) {
     this.context = context;
     this.request = request;
@@ -141,14 +144,14 @@
   }
 
   /** Begins a streamed response; the status and header fields are sent with its first part. */
-  void beginStream(int status, HttpFields fields) {
-    streaming = true;
+  void beginStream(String target, int status, HttpFields fields) {
     begin(status, fields);
+    streamed = new StreamedResponse(target, ResponseDelimiter.of(request, response.getHeaders()));
   }
 
   /** Returns whether a streamed response was begun, which only its own end may complete. */
   boolean isStreaming() {
-    return streaming;
+    return streamed != null;
   }
 
   private void begin(int status, HttpFields fields) {
@@ -197,7 +200,12 @@
   }
 
   /** Aborts a streamed response that is incomplete; must be called after {@link #finish}. */
-  void abortResponse(String reason) {
+  void abortResponse(String id, String reason) {
+    StreamedResponse broken = streamed;
+    if (broken != null) {
+      context.requestLog.log(
+          SteeringEvent.RESPONSE_BROKEN_OFF, id, broken.target, broken.delimiter.label(), reason);
+    }
     callback.failed(new QuietException.Exception(reason));
   }
 
--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -367,7 +367,7 @@
     if (inFlightAttempts.isStreamed(attempt)) {
       if (channel.finish()) {
         recordOutcome(0, "broken-off", completion.reason(), true);
-        channel.abortResponse(completion.reason());
+        channel.abortResponse(String.valueOf(caller.id()), completion.reason());
       }
       return;
     }
@@ -419,7 +419,7 @@
       return false;
     }
     inFlightAttempts.abortOthers(attempt, "another target responded");
-    channel.beginStream(status, fields);
+    channel.beginStream(attempt.choice.target().record().id(), status, fields);
     return true;
   }
 
@@ -455,7 +455,7 @@
         requested.guaranteesNotRun() && reachesTarget ? ifMayHaveRun : requested;
     if (channel.isStreaming()) {
       recordOutcome(0, "broken-off", reason, true);
-      channel.abortResponse(reason);
+      channel.abortResponse(String.valueOf(caller.id()), reason);
     } else {
       recordOutcome(refusal.status(), refusal.name(), reason, true);
       channel.refuse(refusal, refusal.guaranteesNotRun() ? retryAfter() : null);
--- a/steering/src/main/java/verbenahatch/steering/SteeringEvent.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringEvent.java
@@ -57,7 +57,10 @@
       "request-cut id={} route={} target={} elapsed_ms={} at_target_ms={} missing={}"),
   /** An attempt was sent and got no complete, valid response. */
   ATTEMPT_UNANSWERED(
-      1123, Level.INFO, "attempt-unanswered id={} target={} ran_ms={} ended_by={} reason={}");
+      1123, Level.INFO, "attempt-unanswered id={} target={} ran_ms={} ended_by={} reason={}"),
+  /** A streamed response was broken off before its end. */
+  RESPONSE_BROKEN_OFF(
+      1124, Level.INFO, "response-broken-off id={} target={} delimited_by={} reason={}");
 
   private final Definition definition;
 
