--- a/steering/src/main/java/verbenahatch/steering/CallerChannel.java
+++ b/steering/src/main/java/verbenahatch/steering/CallerChannel.java
@@ -1,5 +1,6 @@
 package verbenahatch.steering;
 
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
@@ -8,7 +9,9 @@
 import java.util.function.Consumer;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpStatus;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.QuietException;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -16,6 +19,7 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.http.CallerWatch;
+import verbenahatch.http.ResetOnClose;
 
 /**
  * Reads a caller's request and sends it one response.
@@ -143,10 +147,37 @@
     response.write(true, withoutBody ? null : ByteBuffer.wrap(body), callback);
   }
 
-  /** Begins a streamed response; the status and header fields are sent with its first part. */
-  void beginStream(String target, int status, HttpFields fields) {
+  /**
+   * Begins a streamed response; the status and header fields are sent with its first part.
+   *
+   * @return false if its caller could not tell an early end from a complete response, so that the
+   *     request must be refused
+   */
+  boolean beginStream(String target, int status, HttpFields fields) {
     begin(status, fields);
-    streamed = new StreamedResponse(target, ResponseDelimiter.of(request, response.getHeaders()));
+    ResponseDelimiter delimiter = ResponseDelimiter.of(request, response.getHeaders());
+    if (delimiter == ResponseDelimiter.CHUNKED) {
+      // The library sends chunks on its own only if the connection stays open.
+      response.getHeaders().put(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
+    } else if (delimiter == ResponseDelimiter.UNTIL_CLOSE && !resetOnClose()) {
+      response.getHeaders().clear();
+      return false;
+    }
+    streamed = new StreamedResponse(target, delimiter);
+    return true;
+  }
+
+  private boolean resetOnClose() {
+    try {
+      ResetOnClose.enable(endPoint());
+      return true;
+    } catch (IOException e) {
+      return false;
+    }
+  }
+
+  private EndPoint endPoint() {
+    return request.getConnectionMetaData().getConnection().getEndPoint();
   }
 
   /** Returns whether a streamed response was begun, which only its own end may complete. */
@@ -167,6 +198,16 @@
 
   /** Completes a streamed response; must be called after {@link #finish}. */
   void complete() {
+    StreamedResponse whole = streamed;
+    if (whole != null && whole.delimiter == ResponseDelimiter.UNTIL_CLOSE) {
+      try {
+        // All parts were written to the socket, so an orderly close delivers them.
+        ResetOnClose.disable(endPoint());
+      } catch (IOException e) {
+        closeAndFail(e);
+        return;
+      }
+    }
     response.write(true, null, callback);
   }
 
@@ -199,14 +240,19 @@
     return hasBody && !bodyRead;
   }
 
-  /** Aborts a streamed response that is incomplete; must be called after {@link #finish}. */
+  /**
+   * Aborts a streamed response that is incomplete; must be called after {@link #finish}.
+   *
+   * @param id the id of the request, for the log
+   * @param reason the reason in words, for the log
+   */
   void abortResponse(String id, String reason) {
     StreamedResponse broken = streamed;
     if (broken != null) {
       context.requestLog.log(
           SteeringEvent.RESPONSE_BROKEN_OFF, id, broken.target, broken.delimiter.label(), reason);
     }
-    callback.failed(new QuietException.Exception(reason));
+    closeAndFail(new QuietException.Exception(reason));
   }
 
   /**
@@ -216,8 +262,11 @@
    * the next request that the caller had sent ahead.
    */
   void endWithoutResponse() {
-    QuietException.Exception cause = new QuietException.Exception("the caller disconnected");
-    request.getConnectionMetaData().getConnection().getEndPoint().close(cause);
+    closeAndFail(new QuietException.Exception("the caller disconnected"));
+  }
+
+  private void closeAndFail(Exception cause) {
+    endPoint().close(cause);
     callback.failed(cause);
   }
 
--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -27,9 +27,6 @@
  */
 final class EntryExchange implements TargetAttempt.Listener, CallerAdmission.Listener {
 
-  /** With less remaining time than this, a retry is not worthwhile. */
-  private static final long MIN_RETRY_MILLIS = 100;
-
   private static final String STOPPING_TEXT = "the request may not end before the process does";
 
   private final EntryContext context;
@@ -397,8 +394,7 @@
   }
 
   private boolean mayRetry() {
-    return attempts < Math.max(1, scope.route().maxAttempts())
-        && remainingMillis() > MIN_RETRY_MILLIS;
+    return RequestPolicy.mayRetry(scope.route(), attempts, remainingMillis());
   }
 
   /** Retries the request at another target if the retry budget allows it; otherwise refuses it. */
@@ -419,7 +415,10 @@
       return false;
     }
     inFlightAttempts.abortOthers(attempt, "another target responded");
-    channel.beginStream(attempt.choice.target().record().id(), status, fields);
+    if (!channel.beginStream(attempt.choice.target().record().id(), status, fields)) {
+      refuse(RefusalReason.TARGET_FAILED, "the response has no end that its caller can recognize");
+      return false;
+    }
     return true;
   }
 
--- a/steering/src/main/java/verbenahatch/steering/RequestPolicy.java
+++ b/steering/src/main/java/verbenahatch/steering/RequestPolicy.java
@@ -10,13 +10,16 @@
 
 /**
  * Derives from route and workspace where a request may run, how long it may wait for a slot and
- * when it is hedged.
+ * when it is retried or hedged.
  */
 final class RequestPolicy {
 
   /** Assumed remaining time of a caller if no route defines it. */
   static final long DEFAULT_REMAINING_MILLIS = 1_000;
 
+  /** With less remaining time than this, a retry is not worthwhile. */
+  private static final long MIN_RETRY_MILLIS = 100;
+
   /** Upper bound of the retry pause of a refused caller as a fraction of its remaining time. */
   private static final double RETRY_AFTER_FRACTION = 0.3;
 
@@ -65,6 +68,11 @@
     return priority <= URGENT_PRIORITY ? maxWaitMillis * URGENT_WAIT_FACTOR : maxWaitMillis;
   }
 
+  /** Returns whether a request may be sent once more, given its attempts and remaining time. */
+  static boolean mayRetry(SteeringRoute route, int attempts, long remainingMillis) {
+    return attempts < Math.max(1, route.maxAttempts()) && remainingMillis > MIN_RETRY_MILLIS;
+  }
+
   /** Returns the delay in ms after which a request is hedged; -1 if it is not hedged. */
   static long hedgeDelayMillis(
       Choice choice, SteeringRoute route, int attempts, long remainingMillis) {
--- a/steering/src/main/java/verbenahatch/steering/ResponseDelimiter.java
+++ b/steering/src/main/java/verbenahatch/steering/ResponseDelimiter.java
@@ -3,7 +3,6 @@
 import java.util.Locale;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
-import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.server.Request;
 
@@ -13,11 +12,11 @@
   LENGTH,
   /** The response ends with its last chunk. */
   CHUNKED,
-  /** The response ends with the connection. */
+  /** The response ends with the connection, so that only a reset shows an early end. */
   UNTIL_CLOSE;
 
   /**
-   * Returns how the end of a response is marked.
+   * Returns how to mark the end of a streamed response.
    *
    * @param request the request of the caller
    * @param fields the header fields of the response
@@ -26,15 +25,9 @@
     if (fields.contains(HttpHeader.CONTENT_LENGTH)) {
       return LENGTH;
     }
-    boolean persistent =
-        request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1
-            && !isClosed(request.getHeaders())
-            && !isClosed(fields);
-    return persistent ? CHUNKED : UNTIL_CLOSE;
-  }
-
-  private static boolean isClosed(HttpFields fields) {
-    return fields.contains(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE.asString());
+    boolean acceptsChunks =
+        request.getConnectionMetaData().getHttpVersion() == HttpVersion.HTTP_1_1;
+    return acceptsChunks ? CHUNKED : UNTIL_CLOSE;
   }
 
   /** Returns the name in logs. */
