--- a/steering/src/main/java/verbenahatch/steering/SteeringEvent.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringEvent.java
@@ -58,6 +58,9 @@
   /** An attempt was sent and got no complete, valid response. */
   ATTEMPT_UNANSWERED(
       1123, Level.INFO, "attempt-unanswered id={} target={} ran_ms={} ended_by={} reason={}"),
+  /** A streamed response was broken off before its end. */
+  RESPONSE_BROKEN_OFF(
+      1124, Level.INFO, "response-broken-off id={} target={} delimited_by={} reason={}"),
   /** A target stated that it did not run a request. */
   TARGET_REFUSED(1125, Level.INFO, "target-refused id={} target={} status={} local_port={}");
 
