--- a/steering/src/main/java/verbenahatch/steering/CallerChannel.java
+++ b/steering/src/main/java/verbenahatch/steering/CallerChannel.java
@@ -16,6 +16,7 @@
 import org.eclipse.jetty.util.thread.Scheduler;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.http.CallerWatch;
+import verbenahatch.kernel.TimerDelay;
 
 /**
  * Reads a caller's request and sends it one response.
@@ -100,10 +101,11 @@
     return bodyReader != null && !bodyRead;
   }
 
-  /** Starts to watch for a disconnect of the caller and for the timeout, given in ms. */
-  void watch(Consumer<Throwable> onDisconnect, Runnable onTimeout, long timeoutMillis) {
+  /** Starts to watch for a disconnect of the caller and for the deadline, in ns of the clock. */
+  void watch(Consumer<Throwable> onDisconnect, Runnable onDeadline, long deadlineNanos) {
     watch = CallerWatch.begin(request, onDisconnect);
-    timeout = context.timer.schedule(onTimeout, Math.max(1, timeoutMillis), TimeUnit.MILLISECONDS);
+    long delayMillis = TimerDelay.millisUntil(deadlineNanos, context.state.clock.nanoTime());
+    timeout = context.timer.schedule(onDeadline, delayMillis, TimeUnit.MILLISECONDS);
   }
 
   boolean isFinished() {
--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -9,6 +9,7 @@
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
+import verbenahatch.kernel.TimerDelay;
 import verbenahatch.steering.ReleaseTable.VersionRule;
 import verbenahatch.steering.TargetAttempt.Completion;
 import verbenahatch.steering.TargetSelector.Choice;
@@ -116,7 +117,7 @@
 
   private void onBody(byte @Nullable [] bytes) {
     body = bytes;
-    channel.watch(this::onCallerDisconnected, this::onDeadline, remainingMillis());
+    channel.watch(this::onCallerDisconnected, this::onDeadline, deadlineNanos);
     dispatch();
   }
 
@@ -202,6 +203,7 @@
 
   private void send(Choice choice) {
     SteeringRoute route = scope.route();
+    // Rounded down, so that the target does not work beyond the deadline.
     long remaining = Math.max(1, remainingMillis());
     SteeringWorkspace keyWorkspace = scope.workspace();
     TargetRequest protocolFields =
@@ -220,7 +222,7 @@
             String.valueOf(caller.id()),
             route.idempotent(),
             protocolFields,
-            remaining);
+            TimerDelay.millisUntil(deadlineNanos, context.state.clock.nanoTime()));
     TargetAttempt attempt =
         new TargetAttempt(
             context.pool, context.wire, choice, message, this, context.state.clock.nanoTime());
@@ -428,9 +430,7 @@
     channel.write(part, more, failure -> attempt.abort(failure.toString()));
   }
 
-  /**
-   * Refuses the request, as TARGET_FAILED if it may have run and the reason guarantees otherwise.
-   */
+  /** Refuses the request, as TARGET_FAILED if it may have run and the reason tells otherwise. */
   private void refuse(RefusalReason requested, String reason) {
     refuse(requested, RefusalReason.TARGET_FAILED, reason);
   }
