--- a/gateway/src/main/java/verbenahatch/gateway/Attempt.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Attempt.java
@@ -18,6 +18,7 @@
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
+import verbenahatch.http.CloseDelimitedResponse;
 import verbenahatch.http.VerbatimRequest;
 import verbenahatch.model.EnvironmentDocument.Target;
 
@@ -149,7 +150,8 @@
     long length = response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
     slot.service().recordResponseBytes(Math.max(0, length));
     Content.Source metered = new MeteredContent(source, slot.responseMeter());
-    Content.copy(metered, callerResponse, Callback.from(() -> {}, failure -> cancel(failure)));
+    Content.Sink callerSink = CloseDelimitedResponse.of(exchange.request, callerResponse);
+    Content.copy(metered, callerSink, Callback.from(() -> {}, failure -> cancel(failure)));
   }
 
   private @Nullable Refusal inspect(Response response) {
