--- a/gateway/src/main/java/verbenahatch/gateway/Exchange.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Exchange.java
@@ -7,6 +7,8 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
@@ -345,12 +347,23 @@
             || refusal == Refusal.ANSWER_MISMATCHED
             || refusal == Refusal.DEADLINE_EXCEEDED;
     if (retryAllowed && retryableRefusal && !callerDisconnected && dataPath.retries().tryRetry()) {
+      discardResponse();
       findSlot();
       return;
     }
     refuse(refusal);
   }
 
+  /** Removes what a failed attempt has set in the response, of which nothing is written yet. */
+  private void discardResponse() {
+    String close = HttpHeaderValue.CLOSE.asString();
+    boolean closes = response.getHeaders().contains(HttpHeader.CONNECTION, close);
+    response.reset();
+    if (closes) {
+      response.getHeaders().put(HttpHeader.CONNECTION, close);
+    }
+  }
+
   private void onCallerDisconnected(Throwable cause) {
     callerDisconnected = true;
     Attempt current = currentAttempt.get();
