--- a/gateway/src/main/java/verbenahatch/gateway/Attempt.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Attempt.java
@@ -144,6 +144,9 @@
     callerResponse.setStatus(response.getStatus());
     HeaderRules.copyResponse(response.getHeaders(), callerResponse.getHeaders());
     callerResponse.getHeaders().put(HeaderNames.OUTCOME, Outcome.RUN.text());
+    if (!response.getHeaders().contains(HeaderNames.REQUEST_ID)) {
+      TargetClient.closeAfter(response);
+    }
     if (response.getHeaders().contains(HttpHeader.TRAILER)) {
       callerResponse.setTrailersSupplier(response::getTrailers);
     }
--- a/gateway/src/main/java/verbenahatch/gateway/TargetClient.java
+++ b/gateway/src/main/java/verbenahatch/gateway/TargetClient.java
@@ -3,8 +3,12 @@
 import java.util.concurrent.Executor;
 import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.client.transport.HttpResponse;
 import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -94,6 +98,19 @@
     }
   }
 
+  /**
+   * Closes the connection of a response after it, although the target keeps it open.
+   *
+   * <p>Without a request id, a copy of the response could be taken for that to the next request.
+   *
+   * @param response a response whose head was received
+   */
+  static void closeAfter(Response response) {
+    if (response instanceof HttpResponse received) {
+      received.headers(fields -> fields.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE));
+    }
+  }
+
   /**
    * Closes the idle connections to a target, which may be as unresponsive as the one that timed
    * out.
