--- a/gateway/src/main/java/verbenahatch/gateway/LoadReports.java
+++ b/gateway/src/main/java/verbenahatch/gateway/LoadReports.java
@@ -104,7 +104,7 @@
   private void poll(TargetState state, String path, BufferingResponseListener listener) {
     Target target = state.target();
     client
-        .client(false)
+        .pollClient()
         .newRequest(target.address(), target.port())
         .path(path)
         .timeout(POLL_TIMEOUT_MILLIS, TimeUnit.MILLISECONDS)
--- a/gateway/src/main/java/verbenahatch/gateway/TargetClient.java
+++ b/gateway/src/main/java/verbenahatch/gateway/TargetClient.java
@@ -45,12 +45,15 @@
 
   private final HttpClient pooled;
   private final HttpClient singleUse;
+  private final HttpClient polls;
 
   TargetClient(Executor executor, Scheduler scheduler, ByteBufferPool buffers) throws Exception {
     pooled = create(executor, scheduler, buffers, "targets-pooled");
     singleUse = create(executor, scheduler, buffers, "targets-single");
+    polls = create(executor, scheduler, buffers, "targets-polls");
     pooled.start();
     singleUse.start();
+    polls.start();
   }
 
   private static HttpClient create(
@@ -90,9 +93,19 @@
     return ownConnection ? singleUse : pooled;
   }
 
+  /**
+   * Returns the client for polls, which have no request id.
+   *
+   * <p>They share no connection with requests, because the copy of a response to a poll could be
+   * taken for the response to a request.
+   */
+  HttpClient pollClient() {
+    return polls;
+  }
+
   /** Disables the decoding, redirects, responses and authentication of the client library. */
   void disableMessageProcessing() {
-    for (HttpClient client : new HttpClient[] {pooled, singleUse}) {
+    for (HttpClient client : new HttpClient[] {pooled, singleUse, polls}) {
       client.getContentDecoderFactories().clear();
       client.getProtocolHandlers().clear();
     }
@@ -127,5 +140,6 @@
   public void close() throws Exception {
     pooled.stop();
     singleUse.stop();
+    polls.stop();
   }
 }
--- a/gateway/src/test/java/verbenahatch/gateway/RepeatedResponseTest.java
+++ b/gateway/src/test/java/verbenahatch/gateway/RepeatedResponseTest.java
@@ -10,6 +10,7 @@
 import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
@@ -92,4 +93,17 @@
       assertEquals("run", GatewayFixture.outcome(response));
     }
   }
+
+  /** Polls have no id, and shared their connections with requests. */
+  @Test
+  void copyOfPollResponseIsNotTheResponseToRequest() throws Exception {
+    ScriptedTarget target = ScriptedTarget.respondingWith("own");
+    target.repeatsPollResponses = true;
+    gateway.target(target, "dakar");
+    for (int i = 0; i < 5; i++) {
+      int pollsBefore = target.polls.get();
+      GatewayFixture.awaitCondition(() -> target.polls.get() >= pollsBefore + 2);
+      assertEquals("own", gateway.send(gateway.keyed("/proofs/1")).body());
+    }
+  }
 }
--- a/gateway/src/test/java/verbenahatch/gateway/ScriptedTarget.java
+++ b/gateway/src/test/java/verbenahatch/gateway/ScriptedTarget.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /** Target that writes raw bytes chosen by a test, so that responses can be malformed in any way. */
 final class ScriptedTarget implements AutoCloseable {
@@ -30,6 +31,9 @@
     boolean handle(String requestHead, Socket socket) throws IOException;
   }
 
+  private static final String POLL_RESPONSE =
+      "HTTP/1.1 200 OK\r\nContent-Length: 24\r\n\r\n{\"inFlight\":0,\"slots\":3}";
+
   private final ServerSocket listener;
   private final ExecutorService threads = Executors.newCachedThreadPool();
   private final Queue<Socket> sockets = new ConcurrentLinkedQueue<>();
@@ -38,6 +42,11 @@
 
   private final boolean skipsBody;
 
+  /** Whether the response to a poll is sent once more when the next request has arrived. */
+  volatile boolean repeatsPollResponses;
+
+  final AtomicInteger polls = new AtomicInteger();
+
   ScriptedTarget(Script script) throws IOException {
     this(script, true);
   }
@@ -107,13 +116,20 @@
   private void serve(Socket socket) {
     try (socket) {
       InputStream in = socket.getInputStream();
+      String copy = "";
       for (String requestHead = readRequestHead(in);
           !requestHead.isEmpty();
           requestHead = readRequestHead(in)) {
         if (requestHead.startsWith("GET /load ") || requestHead.startsWith("GET /health ")) {
-          write(socket, okResponse(requestHead, "{\"inFlight\":0,\"slots\":3}"));
+          copy = POLL_RESPONSE;
+          write(socket, copy);
+          polls.incrementAndGet();
           continue;
         }
+        if (repeatsPollResponses) {
+          write(socket, copy);
+          copy = "";
+        }
         requestHeads.add(requestHead);
         String length = header(requestHead, "content-length");
         if (skipsBody && !length.isEmpty()) {
