--- a/gateway/src/main/java/verbenahatch/gateway/Attempt.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Attempt.java
@@ -18,6 +18,7 @@
 import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
+import verbenahatch.http.CloseDelimitedResponse;
 import verbenahatch.http.VerbatimRequest;
 import verbenahatch.model.EnvironmentDocument.Target;
 
@@ -143,13 +144,17 @@
     callerResponse.setStatus(response.getStatus());
     HeaderRules.copyResponse(response.getHeaders(), callerResponse.getHeaders());
     callerResponse.getHeaders().put(HeaderNames.OUTCOME, Outcome.RUN.text());
+    if (!response.getHeaders().contains(HeaderNames.REQUEST_ID)) {
+      TargetClient.closeAfter(response);
+    }
     if (response.getHeaders().contains(HttpHeader.TRAILER)) {
       callerResponse.setTrailersSupplier(response::getTrailers);
     }
     long length = response.getHeaders().getLongField(HttpHeader.CONTENT_LENGTH);
     slot.service().recordResponseBytes(Math.max(0, length));
     Content.Source metered = new MeteredContent(source, slot.responseMeter());
-    Content.copy(metered, callerResponse, Callback.from(() -> {}, failure -> cancel(failure)));
+    Content.Sink callerSink = CloseDelimitedResponse.of(exchange.request, callerResponse);
+    Content.copy(metered, callerSink, Callback.from(() -> {}, failure -> cancel(failure)));
   }
 
   private @Nullable Refusal inspect(Response response) {
--- a/gateway/src/main/java/verbenahatch/gateway/TargetClient.java
+++ b/gateway/src/main/java/verbenahatch/gateway/TargetClient.java
@@ -3,8 +3,12 @@
 import java.util.concurrent.Executor;
 import org.eclipse.jetty.client.DuplexConnectionPool;
 import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.Response;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.client.transport.HttpResponse;
 import org.eclipse.jetty.http.HttpCookieStore;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
 import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.Scheduler;
@@ -41,12 +45,15 @@
 
   private final HttpClient pooled;
   private final HttpClient singleUse;
+  private final HttpClient polls;
 
   TargetClient(Executor executor, Scheduler scheduler, ByteBufferPool buffers) throws Exception {
     pooled = create(executor, scheduler, buffers, "targets-pooled");
     singleUse = create(executor, scheduler, buffers, "targets-single");
+    polls = create(executor, scheduler, buffers, "targets-polls");
     pooled.start();
     singleUse.start();
+    polls.start();
   }
 
   private static HttpClient create(
@@ -86,14 +93,37 @@
     return ownConnection ? singleUse : pooled;
   }
 
+  /**
+   * Returns the client for polls, which have no request id.
+   *
+   * <p>They share no connection with requests, because the copy of a response to a poll could be
+   * taken for the response to a request.
+   */
+  HttpClient pollClient() {
+    return polls;
+  }
+
   /** Disables the decoding, redirects, responses and authentication of the client library. */
   void disableMessageProcessing() {
-    for (HttpClient client : new HttpClient[] {pooled, singleUse}) {
+    for (HttpClient client : new HttpClient[] {pooled, singleUse, polls}) {
       client.getContentDecoderFactories().clear();
       client.getProtocolHandlers().clear();
     }
   }
 
+  /**
+   * Closes the connection of a response after it, although the target keeps it open.
+   *
+   * <p>Without a request id, a copy of the response could be taken for that to the next request.
+   *
+   * @param response a response whose head was received
+   */
+  static void closeAfter(Response response) {
+    if (response instanceof HttpResponse received) {
+      received.headers(fields -> fields.put(HttpHeader.CONNECTION, HttpHeaderValue.CLOSE));
+    }
+  }
+
   /**
    * Closes the idle connections to a target, which may be as unresponsive as the one that timed
    * out.
@@ -110,5 +140,6 @@
   public void close() throws Exception {
     pooled.stop();
     singleUse.stop();
+    polls.stop();
   }
 }
