--- a/http/src/main/java/verbenahatch/http/CloseDelimitedResponse.java
+++ b/http/src/main/java/verbenahatch/http/CloseDelimitedResponse.java
@@ -70,8 +70,7 @@
       // The server knows the length of content that is written at once, and declares it.
       response.write(true, content, callback);
     } else {
-      response.write(
-          false, content, Callback.from(() -> writeEnd(callback), callback::failed));
+      response.write(false, content, Callback.from(() -> writeEnd(callback), callback::failed));
     }
   }
 
