--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -106,6 +106,7 @@
   private volatile boolean streaming;
   private volatile boolean uploaded;
   private volatile boolean aborted;
+  private volatile boolean refusing;
   private volatile int refusalPort = -1;
   private volatile @Nullable String rejectionReason;
 
@@ -178,7 +179,8 @@
   }
 
   /**
-   * Completes the attempt at the end of the response, also if the target has not read the body.
+   * Completes the attempt at the end of the response, also if the target has not read the body, or
+   * at the end of what is buffered of a refusal.
    *
    * <p>The library reports the end of a request only when its body was sent too, which a target
    * that has responded may delay until the deadline.
@@ -301,6 +303,7 @@
       return;
     }
     if (isRefusal(response, answer)) {
+      refusing = true;
       refusalPort = localPort(request.getConnection());
     }
     listener.answered(this, response.getStatus(), answer);
@@ -319,6 +322,12 @@
       demand.run();
       return;
     }
+    if (!streaming && refusing) {
+      // The statement is complete with the header. Its body is not passed on, and streaming it
+      // would give the caller a response while the request is retried.
+      succeed(response);
+      return;
+    }
     if (!streaming) {
       streaming = true;
       if (!listener.begin(this, response.getStatus(), response.getHeaders())) {
