--- a/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
+++ b/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
@@ -35,6 +35,11 @@
     context.metrics.attempts.labelValues(targets.name, outcome).inc();
   }
 
+  /** Counts a complete response in the metrics. */
+  private void count(Completion.Responded completion) {
+    context.metrics.responses.labelValues(targets.name, completion.framing().label()).inc();
+  }
+
   /**
    * Takes a retry from the budget of the service and counts it in the metrics.
    *
@@ -84,6 +89,7 @@
    * @param completion the response
    */
   void recordRejection(Target target, Completion.Responded completion) {
+    count(completion);
     target.recordLoad(completion.answer().load(), now());
     if (completion.status() == HttpStatus.MISDIRECTED_REQUEST_421) {
       count("misdirected");
@@ -103,6 +109,7 @@
    * @return the time in ms from the start of the attempt to the response
    */
   double recordResponse(TargetAttempt attempt, Completion.Responded completion, String route) {
+    count(completion);
     long now = now();
     Target target = attempt.choice.target();
     target.recordLoad(completion.answer().load(), now);
--- a/steering/src/main/java/verbenahatch/steering/SteeringMetrics.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringMetrics.java
@@ -10,6 +10,7 @@
   final Counter requests;
   final Counter attempts;
   final Counter unanswered;
+  final Counter responses;
   final Counter retries;
   final Counter admissions;
   final Histogram requestSeconds;
@@ -33,6 +34,12 @@
             .help("Requests sent to targets without a valid response, by what ended the attempt.")
             .labelNames("service", "ended_by")
             .register(registry);
+    responses =
+        Counter.builder()
+            .name("verbenahatch_steering_responses_total")
+            .help("Complete responses of targets, by how their end was recognised.")
+            .labelNames("service", "framing")
+            .register(registry);
     retries =
         Counter.builder()
             .name("verbenahatch_steering_retries_total")
--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -44,11 +44,13 @@
      *
      * @param status the HTTP status
      * @param fields the header fields
+     * @param framing how the end of the response was recognised
      * @param answer the protocol fields of the response
      * @param body the body, empty if it was streamed
      */
     @SuppressWarnings("ArrayRecordComponent")
-    record Responded(int status, HttpFields fields, TargetResponse answer, byte[] body)
+    record Responded(
+        int status, HttpFields fields, ResponseFraming framing, TargetResponse answer, byte[] body)
         implements Completion {}
 
     /**
@@ -189,10 +191,11 @@
       request.abort(new IOException("the target responded before it had read the body"));
     }
     TargetResponse answer = wire.readResponse(response.getHeaders());
+    int status = response.getStatus();
+    HttpFields fields = response.getHeaders();
+    ResponseFraming framing = ResponseFraming.of(request.getMethod(), status, fields);
     listener.completed(
-        this,
-        new Completion.Responded(
-            response.getStatus(), response.getHeaders(), answer, buffered.toByteArray()));
+        this, new Completion.Responded(status, fields, framing, answer, buffered.toByteArray()));
   }
 
   private void beginSending() {
