--- a/http/src/main/java/verbenahatch/http/KeepAliveConnector.java
+++ b/http/src/main/java/verbenahatch/http/KeepAliveConnector.java
@@ -2,7 +2,6 @@
 
 import java.io.IOException;
 import java.net.StandardSocketOptions;
-import java.nio.ByteBuffer;
 import java.nio.channels.NetworkChannel;
 import java.nio.channels.SelectableChannel;
 import java.nio.channels.SelectionKey;
@@ -11,8 +10,6 @@
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.ManagedSelector;
-import org.eclipse.jetty.io.SocketChannelEndPoint;
-import org.eclipse.jetty.util.BufferUtil;
 
 /**
  * Opens connections with TCP keep-alive probes.
@@ -44,43 +41,9 @@
   @Override
   protected EndPoint newEndPoint(
       SelectableChannel selectable, ManagedSelector selector, SelectionKey key) {
-    return new ResetAwareEndPoint((SocketChannel) selectable, selector, key, this);
-  }
-
-  /**
-   * Reports a connection reset as a failure.
-   *
-   * <p>The library treats a reset as the end of input, so that a truncated response without a
-   * declared length would look complete.
-   */
-  private static final class ResetAwareEndPoint extends SocketChannelEndPoint {
-
-    ResetAwareEndPoint(
-        SocketChannel channel,
-        ManagedSelector selector,
-        SelectionKey key,
-        KeepAliveConnector connector) {
-      super(channel, selector, key, connector.getScheduler());
-      setIdleTimeout(connector.getIdleTimeout().toMillis());
-    }
-
-    @Override
-    public int fill(ByteBuffer buffer) throws IOException {
-      if (isInputShutdown()) {
-        return -1;
-      }
-      int position = BufferUtil.flipToFill(buffer);
-      try {
-        int filled = getChannel().read(buffer);
-        if (filled > 0) {
-          notIdle();
-        } else if (filled < 0) {
-          shutdownInput();
-        }
-        return filled;
-      } finally {
-        BufferUtil.flipToFlush(buffer, position);
-      }
-    }
+    ResetAwareEndPoint endPoint =
+        new ResetAwareEndPoint((SocketChannel) selectable, selector, key, getScheduler());
+    endPoint.setIdleTimeout(getIdleTimeout().toMillis());
+    return endPoint;
   }
 }
