--- a/http/src/main/java/verbenahatch/http/BlockingClient.java
+++ b/http/src/main/java/verbenahatch/http/BlockingClient.java
@@ -9,7 +9,6 @@
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.http.HttpHeaderValue;
@@ -71,7 +70,7 @@
     this.maxResponseBytes = maxResponseBytes;
     KeepAliveConnector connector = new KeepAliveConnector();
     connector.setSelectors(1);
-    client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    client = new HttpClient(new KeepAliveTransport(connector));
     threads.setName(name);
     threads.setDaemon(true);
     client.setExecutor(threads);
--- a/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
+++ b/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
@@ -32,6 +32,11 @@
     context.metrics.attempts.labelValues(targets.name, outcome).inc();
   }
 
+  /** Counts a complete response in the metrics. */
+  private void count(Completion.Responded completion) {
+    context.metrics.responses.labelValues(targets.name, completion.framing().label()).inc();
+  }
+
   /**
    * Takes a retry from the budget of the service and counts it in the metrics.
    *
@@ -82,6 +87,7 @@
    */
   void recordRejection(TargetAttempt attempt, Completion.Responded completion) {
     Target target = attempt.choice.target();
+    count(completion);
     context.requestLog.log(
         SteeringEvent.TARGET_REFUSED,
         attempt.requestId,
@@ -107,6 +113,7 @@
    * @return the time in ms from the start of the attempt to the response
    */
   double recordResponse(TargetAttempt attempt, Completion.Responded completion, String route) {
+    count(completion);
     long now = now();
     Target target = attempt.choice.target();
     target.recordLoad(completion.answer().load(), now);
