--- a/http/src/main/java/verbenahatch/http/BlockingClient.java
+++ b/http/src/main/java/verbenahatch/http/BlockingClient.java
@@ -1,5 +1,6 @@
 package verbenahatch.http;
 
+import java.io.EOFException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -9,6 +10,10 @@
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpHeaderValue;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
@@ -105,6 +110,9 @@
         new CompletableResponseListener(request, maxResponseBytes).send();
     try {
       ContentResponse response = future.get(timeoutMillis + connectMillis, TimeUnit.MILLISECONDS);
+      if (!isEndKnown(response)) {
+        return noResponse(request, new EOFException("response without length and chunks"));
+      }
       byte[] content = response.getContent();
       return new Outcome.Received(response.getStatus(), content == null ? new byte[0] : content);
     } catch (InterruptedException e) {
@@ -119,6 +127,20 @@
     }
   }
 
+  /**
+   * Returns whether a response cannot be a part of one.
+   *
+   * <p>The end of a connection also delimits a response, but a part of a list may be a valid
+   * shorter one. Of a response that is not successful only the status counts.
+   */
+  private static boolean isEndKnown(ContentResponse response) {
+    HttpFields fields = response.getHeaders();
+    return !HttpStatus.isSuccess(response.getStatus())
+        || response.getStatus() == HttpStatus.NO_CONTENT_204
+        || fields.contains(HttpHeader.CONTENT_LENGTH)
+        || fields.contains(HttpHeader.TRANSFER_ENCODING, HttpHeaderValue.CHUNKED.asString());
+  }
+
   private Outcome noResponse(Request request, Throwable cause) {
     IdleConnections.close(client, request.getHost(), request.getPort());
     return new Outcome.NoResponse(cause.toString());
