--- a/peer/src/test/java/verbenahatch/peer/RawPeer.java
+++ b/peer/src/test/java/verbenahatch/peer/RawPeer.java
@@ -78,6 +78,12 @@
     out.flush();
   }
 
+  /** Writes bytes of a frame whose length was written. */
+  void writePart(byte[] bytes) throws IOException {
+    out.write(bytes);
+    out.flush();
+  }
+
   /** Returns the next frame, or empty if the other side closed the connection. */
   Optional<byte[]> read() throws IOException {
     try {
