--- a/store/src/main/java/verbenahatch/store/HttpObjectStore.java
+++ b/store/src/main/java/verbenahatch/store/HttpObjectStore.java
@@ -85,7 +85,11 @@
     if (result.error() == null && result.status() == NOT_FOUND) {
       return Result.err(new StoreError.NotFound(name));
     }
-    return parse(result, Wire.ObjectBody.class).map(HttpObjectStore::toStoredObject);
+    Result<Wire.ObjectBody, StoreError> parsed = parse(result, Wire.ObjectBody.class);
+    if (parsed.isOk() && !name.equals(parsed.get().name())) {
+      return Result.err(new StoreError.Unavailable("response to another call"));
+    }
+    return parsed.map(HttpObjectStore::toStoredObject);
   }
 
   @Override
@@ -244,6 +248,10 @@
       }
     }
     Result<Wire.ObjectBody, StoreError> parsed = parse(result, Wire.ObjectBody.class);
+    if (parsed.isOk() && !writeId.equals(parsed.get().writeId())) {
+      // The response to another call; whether this one was executed is not known.
+      return Result.err(new StoreError.Unsettled(name, writeId));
+    }
     return parsed.mapError(error -> new StoreError.Unsettled(name, writeId));
   }
 
