--- a/standins/src/test/java/verbenahatch/standins/HttpObjectStoreResponseTest.java
+++ b/standins/src/test/java/verbenahatch/standins/HttpObjectStoreResponseTest.java
@@ -1,5 +1,6 @@
 package verbenahatch.standins;
 
+import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -15,12 +16,14 @@
 import java.util.concurrent.Executors;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import verbenahatch.kernel.Result;
 import verbenahatch.store.HttpObjectStore;
 import verbenahatch.store.StoreError;
+import verbenahatch.store.StoredObject;
 
 /** Guards against a call that returns a part of its response, or the response to another call. */
 class HttpObjectStoreResponseTest {
@@ -138,4 +141,22 @@
         call.equals("get") ? StoreError.Unavailable.class : StoreError.Unsettled.class;
     assertInstanceOf(expected, second.error());
   }
+
+  /** A head was kept whatever its length, until the call timed out. */
+  @Test
+  void headWithoutEndIsCutOff() throws Exception {
+    String field = "X-Field: value\r\n".repeat(4_096);
+    serve(
+        (line, socket) -> {
+          write(socket, "HTTP/1.1 200 OK\r\n");
+          while (true) {
+            write(socket, field);
+          }
+        });
+    long startNanos = System.nanoTime();
+    Result<StoredObject, StoreError> result = store.get("a");
+    assertInstanceOf(StoreError.Unavailable.class, result.error());
+    assertEquals(-1, String.valueOf(result.error()).indexOf("timed out"), "read until the timeout");
+    assertTrue(System.nanoTime() - startNanos < TIMEOUT.toNanos());
+  }
 }
--- a/store/src/main/java/verbenahatch/store/HttpObjectStore.java
+++ b/store/src/main/java/verbenahatch/store/HttpObjectStore.java
@@ -31,6 +31,9 @@
   /** Threads of the HTTP client; they only transfer bytes. */
   private static final int CLIENT_THREADS = 6;
 
+  /** Longest head or trailer of a response in bytes; the library sets no limit by itself. */
+  private static final int MAX_RESPONSE_HEAD_BYTES = 64 * 1024;
+
   private static final int OK = 200;
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
@@ -67,6 +70,7 @@
     client.setFollowRedirects(false);
     client.setConnectTimeout(timeoutMillis);
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
+    client.setMaxResponseHeadersSize(MAX_RESPONSE_HEAD_BYTES);
     client
         .getTransport()
         .setConnectionPoolFactory(
