--- a/store/src/main/java/verbenahatch/store/HttpObjectStore.java
+++ b/store/src/main/java/verbenahatch/store/HttpObjectStore.java
@@ -31,6 +31,9 @@
   /** Threads of the HTTP client; they only transfer bytes. */
   private static final int CLIENT_THREADS = 6;
 
+  /** Longest head or trailer of a response in bytes; the library sets no limit by itself. */
+  private static final int MAX_RESPONSE_HEAD_BYTES = 64 * 1024;
+
   private static final int OK = 200;
   private static final int BAD_REQUEST = 400;
   private static final int NOT_FOUND = 404;
@@ -67,6 +70,7 @@
     client.setFollowRedirects(false);
     client.setConnectTimeout(timeoutMillis);
     client.setMaxConnectionsPerDestination(MAX_CONNECTIONS);
+    client.setMaxResponseHeadersSize(MAX_RESPONSE_HEAD_BYTES);
     client
         .getTransport()
         .setConnectionPoolFactory(
@@ -85,7 +89,11 @@
     if (result.error() == null && result.status() == NOT_FOUND) {
       return Result.err(new StoreError.NotFound(name));
     }
-    return parse(result, Wire.ObjectBody.class).map(HttpObjectStore::toStoredObject);
+    Result<Wire.ObjectBody, StoreError> parsed = parse(result, Wire.ObjectBody.class);
+    if (parsed.isOk() && !name.equals(parsed.get().name())) {
+      return Result.err(new StoreError.Unavailable("response to another call"));
+    }
+    return parsed.map(HttpObjectStore::toStoredObject);
   }
 
   @Override
@@ -244,6 +252,10 @@
       }
     }
     Result<Wire.ObjectBody, StoreError> parsed = parse(result, Wire.ObjectBody.class);
+    if (parsed.isOk() && !writeId.equals(parsed.get().writeId())) {
+      // The response to another call; whether this one was executed is not known.
+      return Result.err(new StoreError.Unsettled(name, writeId));
+    }
     return parsed.mapError(error -> new StoreError.Unsettled(name, writeId));
   }
 
