--- a/http/src/main/java/verbenahatch/http/BlockingClient.java
+++ b/http/src/main/java/verbenahatch/http/BlockingClient.java
@@ -8,7 +8,6 @@
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.HttpClient;
 import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 
 /**
@@ -66,7 +65,7 @@
     this.maxResponseBytes = maxResponseBytes;
     KeepAliveConnector connector = new KeepAliveConnector();
     connector.setSelectors(1);
-    client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    client = new HttpClient(new KeepAliveTransport(connector));
     threads.setName(name);
     threads.setDaemon(true);
     client.setExecutor(threads);
--- a/http/src/main/java/verbenahatch/http/ResetAwareEndPoint.java
+++ b/http/src/main/java/verbenahatch/http/ResetAwareEndPoint.java
@@ -76,15 +76,37 @@
     }
   }
 
+  /** Returns whether a write has failed, after which the connection must not be reused. */
+  boolean hasFailedWrite() {
+    synchronized (writeLock) {
+      return writeFailure != null;
+    }
+  }
+
+  /**
+   * Writes bytes, or discards them if the peer takes no more.
+   *
+   * <p>A peer may respond and close the connection before it has read a request. A failed write
+   * would end the exchange before that response is read, so the reader decides instead: it finds
+   * the response, or fails at the end of input.
+   */
   @Override
   public boolean flush(ByteBuffer... buffers) throws IOException {
     synchronized (writeLock) {
-      try {
-        return super.flush(buffers);
-      } catch (IOException e) {
-        writeFailure = e;
-        throw e;
+      if (writeFailure == null) {
+        try {
+          return super.flush(buffers);
+        } catch (IOException e) {
+          writeFailure = e;
+        }
       }
+      if (!getChannel().isOpen()) {
+        throw writeFailure;
+      }
+    }
+    for (ByteBuffer buffer : buffers) {
+      buffer.position(buffer.limit());
     }
+    return true;
   }
 }
--- a/http/src/test/java/verbenahatch/http/ResetAwareEndPointTest.java
+++ b/http/src/test/java/verbenahatch/http/ResetAwareEndPointTest.java
@@ -60,9 +60,8 @@
     long endNanos = System.nanoTime() + Duration.ofMillis(TIMEOUT_MILLIS).toNanos();
     while (System.nanoTime() < endNanos) {
       upload.clear();
-      try {
-        endPoint.flush(upload);
-      } catch (IOException e) {
+      endPoint.flush(upload);
+      if (endPoint.hasFailedWrite()) {
         return;
       }
     }
@@ -103,6 +102,33 @@
     assertThrows(IOException.class, () -> endPoint.fill(BufferUtil.allocate(1)));
   }
 
+  /** A response that arrived before a failed write was lost, as that write ended the exchange. */
+  @Test
+  void responseBeforeFailedWriteIsRead() throws Exception {
+    ByteBuffer request = ByteBuffer.wrap(new byte[] {1});
+    assertTrue(endPoint.flush(request));
+    respond("response");
+    // The request is not read, so the close resets the connection after the response.
+    peer.close();
+    writeUntilFailure();
+    ByteBuffer rest = ByteBuffer.wrap(new byte[] {1});
+    assertTrue(endPoint.flush(rest));
+    assertEquals(0, rest.remaining());
+    ByteBuffer buffer = BufferUtil.allocate(1024);
+    assertEquals("response".length(), endPoint.fill(buffer));
+    assertEquals("response", BufferUtil.toString(buffer, StandardCharsets.ISO_8859_1));
+    assertThrows(IOException.class, this::readToEnd);
+  }
+
+  /** A write on a connection that this side has closed must fail, as nothing reads a response. */
+  @Test
+  void writeAfterCloseByThisSideFails() {
+    endPoint.close();
+    ByteBuffer request = ByteBuffer.wrap(new byte[] {1});
+    assertThrows(IOException.class, () -> endPoint.flush(request));
+    assertThrows(IOException.class, () -> endPoint.flush(request));
+  }
+
   /** A connection that this side had closed read as one that the peer had ended in order. */
   @Test
   void closeByThisSideIsNoEndOfInput() throws Exception {
--- a/steering/src/main/java/verbenahatch/steering/TargetPool.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetPool.java
@@ -7,12 +7,12 @@
 import org.eclipse.jetty.client.ProcessingProtocolHandler;
 import org.eclipse.jetty.client.ProtocolHandlers;
 import org.eclipse.jetty.client.Request;
-import org.eclipse.jetty.client.transport.HttpClientTransportOverHTTP;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.util.thread.Scheduler;
 import verbenahatch.http.IdleConnections;
 import verbenahatch.http.KeepAliveConnector;
+import verbenahatch.http.KeepAliveTransport;
 import verbenahatch.http.VerbatimRequest;
 import verbenahatch.steering.model.TargetRecord;
 
@@ -55,7 +55,7 @@
     KeepAliveConnector connector = new KeepAliveConnector();
     connector.setSelectors(1);
     connector.setTCPNoDelay(true);
-    HttpClient client = new HttpClient(new HttpClientTransportOverHTTP(connector));
+    HttpClient client = new HttpClient(new KeepAliveTransport(connector));
     client.setName(name);
     client.setExecutor(executor);
     client.setScheduler(scheduler);
