--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -220,7 +220,15 @@
   }
 
   private void beginSending() {
-    if (!listener.mayBegin(this) && withdraw()) {
+    String reason = "withdrawn before it was sent";
+    boolean allowed = false;
+    try {
+      allowed = listener.mayBegin(this);
+    } catch (RuntimeException | Error e) {
+      // The library would ignore it and send a request that still counts as not sent.
+      reason += ": " + e;
+    }
+    if (!allowed && withdraw()) {
       aborted = true;
     }
     progress.compareAndSet(Progress.NOT_SENT, Progress.SENT);
@@ -236,7 +244,7 @@
           headers.clear();
           wire.writeRequest(callerFields, refused, headers);
         });
-    request.abort(new IOException("withdrawn before it was sent"));
+    request.abort(new IOException(reason));
   }
 
   /**
