--- a/gateway/src/main/java/verbenahatch/gateway/Attempt.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Attempt.java
@@ -33,10 +33,16 @@
   private final Target target;
   private final String requestId = UUID.randomUUID().toString();
   private final AtomicBoolean completed = new AtomicBoolean();
+
+  /** Set by the first of two ends: that of the target's response and that of its copy. */
+  private final AtomicBoolean oneEndReached = new AtomicBoolean();
+
   private volatile @Nullable Request upstream;
   private volatile @Nullable Refusal refusal;
   private volatile boolean sent;
   private volatile boolean responseStarted;
+  private volatile boolean responseEnded;
+  private volatile @Nullable Throwable copyFailure;
   private volatile boolean callerDisconnected;
   private volatile long responseStartNanos;
   private long startNanos;
@@ -154,7 +160,7 @@
     slot.service().recordResponseBytes(Math.max(0, length));
     Content.Source metered = new MeteredContent(source, slot.responseMeter());
     Content.Sink callerSink = CloseDelimitedResponse.of(exchange.request, callerResponse);
-    Content.copy(metered, callerSink, Callback.from(() -> {}, failure -> cancel(failure)));
+    Content.copy(metered, callerSink, Callback.from(this::finishOnceComplete, this::copyFailed));
   }
 
   private @Nullable Refusal inspect(Response response) {
@@ -191,6 +197,37 @@
     }
   }
 
+  /**
+   * Finishes the exchange when the target's response has ended and its last byte was written.
+   *
+   * <p>The library may report the end of the response before the copy has written its own end. The
+   * connection of a caller without chunks would then be reset although the response is complete.
+   */
+  private void finishOnceComplete() {
+    if (!oneEndReached.compareAndSet(false, true)) {
+      exchange.finish();
+    }
+  }
+
+  private void copyFailed(Throwable failure) {
+    copyFailure = failure;
+    cancel(failure);
+    abortIfEnded();
+  }
+
+  /** Aborts the response if it can't be written and its end was received, so none other will. */
+  private void abortIfEnded() {
+    Throwable failure = copyFailure;
+    if (failure == null || !responseEnded) {
+      return;
+    }
+    if (exchange.response.isCommitted()) {
+      exchange.abortResponse(failure);
+    } else {
+      exchange.refuse(Refusal.TARGET_FAILED);
+    }
+  }
+
   private void complete(Result result) {
     if (!completed.compareAndSet(false, true)) {
       return;
@@ -198,7 +235,9 @@
     record(result);
     slot.release();
     if (result.isSucceeded()) {
-      exchange.finish();
+      responseEnded = true;
+      abortIfEnded();
+      finishOnceComplete();
       return;
     }
     Throwable failure = result.getFailure();
