--- a/steering/src/main/java/verbenahatch/steering/ConnectionReuse.java
+++ b/steering/src/main/java/verbenahatch/steering/ConnectionReuse.java
@@ -9,7 +9,8 @@
  * <p>The id in a response identifies the request, not the attempt. A target may send a second copy
  * of a refusal, and a refused request may be sent again with its id; on the same connection the
  * copy would count as the response to the later attempt. So a response after which a request may be
- * sent again as not run ends its connection.
+ * sent again as not run ends its connection. So does a response without an id, as its copy would
+ * count as the response to any later request.
  *
  * <p>Load pattern: an overloaded target refuses in bursts, and each refusal then costs a new
  * connection, about 1 ms at the target. A pause that the target asks for, ejection and the retry
@@ -29,7 +30,8 @@
   static boolean isAllowedAfter(int status, TargetResponse answer) {
     // Callers take these statuses as the statement that the request did not run, also without the
     // target's own statement.
-    return !answer.notRun()
+    return answer.requestId() != null
+        && !answer.notRun()
         && status != HttpStatus.MISDIRECTED_REQUEST_421
         && !RefusalReason.guaranteesNotRun(status);
   }
--- a/steering/src/test/java/verbenahatch/steering/ConnectionReuseTest.java
+++ b/steering/src/test/java/verbenahatch/steering/ConnectionReuseTest.java
@@ -1,9 +1,11 @@
 package verbenahatch.steering;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 import verbenahatch.steering.model.WireProtocol.TargetResponse;
 
 /** Checks which responses end the connection that carried them. */
@@ -33,4 +35,12 @@
     TargetResponse answer = new TargetResponse("r", true, notRun, null, false, 0);
     assertEquals(allowed, ConnectionReuse.isAllowedAfter(status, answer));
   }
+
+  /** A copy of a response without an id counted as the response to a later request. */
+  @ParameterizedTest
+  @ValueSource(ints = {200, 304, 400, 404, 500, 502, 503, 504})
+  void responseWithoutIdEndsItsConnection(int status) {
+    TargetResponse answer = new TargetResponse(null, true, false, null, false, 0);
+    assertFalse(ConnectionReuse.isAllowedAfter(status, answer));
+  }
 }
