--- a/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
+++ b/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
@@ -216,7 +216,10 @@
       double millis = (now() - attempt.startNanos) / 1e6;
       boolean cold = target.isCold(now());
       recordEvidence(
-          target, route, VersionEvidence.ofAborted(millis, attempt.choice.expectedMillis(), cold));
+          target,
+          route,
+          VersionEvidence.ofAborted(
+              millis, attempt.choice.expectedMillis(), targets.times.coldMillis(), cold));
       return;
     }
     recordEvidence(target, route, VersionEvidence.BAD);
--- a/steering/src/main/java/verbenahatch/steering/VersionEvidence.java
+++ b/steering/src/main/java/verbenahatch/steering/VersionEvidence.java
@@ -3,7 +3,7 @@
 /**
  * Decides what the end of an attempt tells about the version of its target.
  *
- * <p>Answers a version that is slow for a part of its requests. Most of those attempts never
+ * <p>Detects a version that is slow for a part of its requests. Most of those attempts never
  * respond: this host aborts them because a hedged request was faster, the deadline passed or the
  * caller left. They count as bad if they were overdue by then; a shorter one tells nothing. Takes
  * no input but times in ms; has no state.
@@ -36,12 +36,16 @@
   /**
    * Returns what an attempt tells that this host aborted.
    *
+   * <p>An object that was expected in the cache and is not there explains the cold time.
+   *
    * @param millis the time from the start of the attempt to its end
    * @param expectedMillis the time that was expected when the target was chosen
+   * @param coldMillis the mean time for objects that are in no cache
    * @param coldTarget whether the target has started recently, which explains a slow response
    */
-  static VersionEvidence ofAborted(double millis, double expectedMillis, boolean coldTarget) {
-    boolean overdue = millis >= RequestPolicy.overdueMillis(expectedMillis);
+  static VersionEvidence ofAborted(
+      double millis, double expectedMillis, double coldMillis, boolean coldTarget) {
+    boolean overdue = millis >= Math.max(RequestPolicy.overdueMillis(expectedMillis), coldMillis);
     return overdue && !coldTarget ? BAD : NONE;
   }
 }
