--- a/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
+++ b/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
@@ -216,10 +216,7 @@
       double millis = (now() - attempt.startNanos) / 1e6;
       boolean cold = target.isCold(now());
       recordEvidence(
-          target,
-          route,
-          VersionEvidence.ofAborted(
-              millis, attempt.choice.expectedMillis(), targets.times.coldMillis(), cold));
+          target, route, VersionEvidence.ofAborted(millis, attempt.choice.expectedMillis(), cold));
       return;
     }
     recordEvidence(target, route, VersionEvidence.BAD);
--- a/steering/src/main/java/verbenahatch/steering/VersionEvidence.java
+++ b/steering/src/main/java/verbenahatch/steering/VersionEvidence.java
@@ -36,16 +36,12 @@
   /**
    * Returns what an attempt tells that this host aborted.
    *
-   * <p>An object that was expected in the cache and is not there explains the cold time.
-   *
    * @param millis the time from the start of the attempt to its end
    * @param expectedMillis the time that was expected when the target was chosen
-   * @param coldMillis the mean time for objects that are in no cache
    * @param coldTarget whether the target has started recently, which explains a slow response
    */
-  static VersionEvidence ofAborted(
-      double millis, double expectedMillis, double coldMillis, boolean coldTarget) {
-    boolean overdue = millis >= Math.max(RequestPolicy.overdueMillis(expectedMillis), coldMillis);
+  static VersionEvidence ofAborted(double millis, double expectedMillis, boolean coldTarget) {
+    boolean overdue = millis >= RequestPolicy.overdueMillis(expectedMillis);
     return overdue && !coldTarget ? BAD : NONE;
   }
 }
--- a/steering/src/test/java/verbenahatch/steering/VersionEvidenceTest.java
+++ b/steering/src/test/java/verbenahatch/steering/VersionEvidenceTest.java
@@ -24,28 +24,21 @@
 
   /**
    * Aborted attempts did not count at all: of the attempts of a version that took eight times as
-   * long for half of its requests, 317 were aborted and 13 counted as bad. An attempt that took no
-   * longer than a cold object explains must not count against a version.
+   * long for half of its requests, 317 were aborted and 13 counted as bad.
    */
   @ParameterizedTest
   @CsvSource({
-    "200, 300, 599, false, NONE",
-    "200, 300, 600, false, BAD",
-    "200, 640, 639, false, NONE",
-    "200, 640, 864, false, BAD",
-    "200, 640, 864, true, NONE",
-    "10, 10, 499, false, NONE",
-    "10, 10, 500, false, BAD",
-    "640, 640, 1900, false, NONE",
-    "640, 640, 2606, false, BAD"
+    "200, 599, false, NONE",
+    "200, 600, false, BAD",
+    "200, 864, false, BAD",
+    "200, 864, true, NONE",
+    "10, 499, false, NONE",
+    "10, 500, false, BAD",
+    "640, 1900, false, NONE",
+    "640, 2606, false, BAD"
   })
   void abortedAttemptCountsOnceItIsOverdue(
-      double expectedMillis,
-      double coldMillis,
-      double millis,
-      boolean coldTarget,
-      VersionEvidence expected) {
-    assertEquals(
-        expected, VersionEvidence.ofAborted(millis, expectedMillis, coldMillis, coldTarget));
+      double expectedMillis, double millis, boolean coldTarget, VersionEvidence expected) {
+    assertEquals(expected, VersionEvidence.ofAborted(millis, expectedMillis, coldTarget));
   }
 }
