--- a/steering/src/main/java/verbenahatch/steering/model/WireProtocol.java
+++ b/steering/src/main/java/verbenahatch/steering/model/WireProtocol.java
@@ -54,8 +54,14 @@
    * @param running the number of requests that are running
    * @param waiting the number of requests that wait for a slot
    * @param slots the maximum number of requests that may run at the same time
+   * @param workTimePercent how long work takes on the target's machine at this moment, in percent
+   *     of the usual time
    */
-  record TargetLoad(int running, int waiting, int slots) {}
+  record TargetLoad(int running, int waiting, int slots, int workTimePercent) {
+
+    /** The work time in percent on a machine that is as fast as usual. */
+    public static final int USUAL_WORK_TIME_PERCENT = 100;
+  }
 
   /**
    * Holds a caller's query to the directory.
