Estimate processing times by route

Routes of one service may differ in their work by several times (720 and 2,200 ms at one service of a customer), but had one estimate: long reads counted as cold objects, and urgent short requests waited behind times that were not theirs. The wait behind other requests still uses the times of all routes. A route without times of its own uses those of the service.

--- a/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
+++ b/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
@@ -122,7 +122,8 @@
     recordEvidence(
         target,
         route,
-        VersionEvidence.ofResponse(failed, millis, targets.times.coldMillis(), target.isCold(now)));
+        VersionEvidence.ofResponse(
+            failed, millis, targets.times(route).coldMillis(), target.isCold(now)));
     count(failed ? "failed" : "served");
     if (failed) {
       target.recordFailure(now);
@@ -135,26 +136,27 @@
    *
    * @param attempt the attempt
    * @param millis the time in ms that {@link #recordResponse} returned
+   * @param route the name of the route
    * @param namesObject whether the request names an object, which the target now has
    * @param objectHash the hash of that object
    */
-  void recordSuccess(TargetAttempt attempt, double millis, boolean namesObject, long objectHash) {
+  void recordSuccess(
+      TargetAttempt attempt, double millis, String route, boolean namesObject, long objectHash) {
     Target target = attempt.choice.target();
     if (namesObject) {
       target.recentObjects.add(objectHash);
     }
     double workMillis = Math.max(millis - attempt.choice.waitMillis(), millis * 0.2);
     CacheState cacheState = attempt.choice.cacheState();
+    ProcessingTimes times = targets.times(route);
     // Only a target that is known to have the object is slow if it takes longer than a warm one.
     double expectedMillis =
-        cacheState == CacheState.WARM
-            ? targets.times.warmMillis()
-            : targets.times.nearestMillis(workMillis);
+        cacheState == CacheState.WARM ? times.warmMillis() : times.nearestMillis(workMillis);
     long now = now();
     target.recordSuccess(workMillis / Math.max(1, expectedMillis), now);
     // Requests that name no object, for example probes of a route, may do no work at all.
     if (!target.isCold(now) && namesObject) {
-      targets.times.record(cacheState, workMillis);
+      targets.recordTime(route, cacheState, workMillis);
     }
   }
 
--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -301,7 +301,12 @@
     double millis = requireRecorder().recordResponse(attempt, completion, scope.route().name());
     if (completion.status() < HttpStatus.INTERNAL_SERVER_ERROR_500) {
       requireRecorder()
-          .recordSuccess(attempt, millis, caller.objectKey() != null, requestTargets.objectHash());
+          .recordSuccess(
+              attempt,
+              millis,
+              scope.route().name(),
+              caller.objectKey() != null,
+              requestTargets.objectHash());
     } else if (retryFailedResponse(attempt, completion.status())) {
       return;
     }
--- a/steering/src/main/java/verbenahatch/steering/ProcessingTimes.java
+++ b/steering/src/main/java/verbenahatch/steering/ProcessingTimes.java
@@ -1,7 +1,8 @@
 package verbenahatch.steering;
 
 /**
- * Estimates the processing times of a service for objects in the cache of a target and for others.
+ * Estimates the processing times of a service or route for objects in the cache of a target and for
+ * others.
  *
  * <p>Answers a fleet in which each host sees few requests: an object returns to the same host too
  * rarely to learn from requests that are known to be warm. Each measured time is therefore assigned
@@ -34,6 +35,11 @@
   private int coldCount;
   private int fastColdCount;
 
+  /** Returns the number of measured times. */
+  synchronized int count() {
+    return warmCount + coldCount;
+  }
+
   /** Returns the mean time for objects in the cache of a target, in ms. */
   synchronized double warmMillis() {
     return warmMillis;
--- a/steering/src/main/java/verbenahatch/steering/RequestTargets.java
+++ b/steering/src/main/java/verbenahatch/steering/RequestTargets.java
@@ -47,6 +47,7 @@
         new Criteria(
             targets,
             scope.document().document.services().get(targets.name),
+            targets.times(route.name()),
             objectHash,
             objectKey != null,
             context.state.settings.region(),
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -57,6 +57,7 @@
    *
    * @param service the targets to choose from
    * @param definition the operator's settings of the service, null if there are none
+   * @param times the estimated processing times of the request's route
    * @param objectHash the hash of the object's name, or of the request id if it names no object
    * @param namesObject whether the request names an object
    * @param region the region of this host
@@ -72,6 +73,7 @@
   record Criteria(
       ServiceTargets service,
       @Nullable SteeringService definition,
+      ProcessingTimes times,
       long objectHash,
       boolean namesObject,
       String region,
@@ -378,16 +380,16 @@
     if (load >= slots * MAX_LOAD_PER_SLOT) {
       return null;
     }
-    ServiceTargets service = criteria.service;
-    double warmMillis = service.times.warmMillis();
-    double extraForCold = service.times.coldMillis() - warmMillis;
+    double warmMillis = criteria.times.warmMillis();
+    double extraForCold = criteria.times.coldMillis() - warmMillis;
     double work = warmMillis + extraForCold * cacheState.coldFraction();
     work *= target.slowness(now);
     if (target.isCold(now)) {
       work *= COLD_TARGET_FACTOR;
     }
     double queued = Math.max(0, load + 1 - slots);
-    double wait = queued / slots * warmMillis * target.slowness(now);
+    double queuedWork = criteria.service.times().warmMillis();
+    double wait = queued / slots * queuedWork * target.slowness(now);
     double utilization = Math.min(1, load / slots);
     double crowding = CROWDING_WEIGHT * warmMillis * Math.pow(utilization, 4);
     double expected = work + wait + crowding + FAILURE_MILLIS * target.failureRate(now);
--- a/steering/src/test/java/verbenahatch/steering/TargetSelectorTest.java
+++ b/steering/src/test/java/verbenahatch/steering/TargetSelectorTest.java
@@ -49,6 +49,7 @@
     return new Criteria(
         fixture.table.service("catalogue"),
         Samples.SERVICE,
+        fixture.table.service("catalogue").times(),
         Hashing.of(object),
         true,
         "a",
@@ -142,6 +143,7 @@
         new Criteria(
             base.service(),
             limited,
+            base.times(),
             base.objectHash(),
             true,
             "a",
@@ -205,6 +207,7 @@
         new Criteria(
             criteria.service(),
             criteria.definition(),
+            criteria.times(),
             criteria.objectHash(),
             criteria.namesObject(),
             criteria.region(),
