Advise callers to hosts in proportion to what their machines carry

In fleets of a few large machines and many small ones, callers were advised to all hosts alike.

The settings tell a host what its machine carries, heartbeats tell the other hosts, and the directory names a host with a probability that is its capacity relative to the largest one. Equal hosts are all advised, as before.

--- a/steering/src/main/java/verbenahatch/steering/Directory.java
+++ b/steering/src/main/java/verbenahatch/steering/Directory.java
@@ -5,20 +5,24 @@
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
+import java.util.Random;
 import java.util.concurrent.ThreadLocalRandom;
 import org.eclipse.jetty.http.HttpHeader;
 import org.eclipse.jetty.server.Request;
 import org.eclipse.jetty.server.Response;
 import org.eclipse.jetty.util.Callback;
 import verbenahatch.peer.generated.HostBeat;
+import verbenahatch.routing.HostAdvice;
+import verbenahatch.routing.HostAdvice.Candidate;
+import verbenahatch.steering.model.SteeringSettings.HostCapacity;
 import verbenahatch.steering.model.WireProtocol;
 import verbenahatch.steering.model.WireProtocol.DirectoryQuery;
 
 /**
  * Serves callers the addresses of the hosts to which they should connect.
  *
- * <p>Lists hosts of the caller's region that are alive, ready and not leaving; lists those of other
- * regions only if there are none.
+ * <p>Lists hosts of the caller's region that are alive, ready and not leaving, each as often as its
+ * machine can carry callers; lists those of other regions only if there are none.
  */
 final class Directory {
 
@@ -59,19 +63,23 @@
 
   /** Returns the addresses that a caller of a region should use, in random order. */
   List<String> addresses(String region) {
-    List<String> sameRegion = new ArrayList<>();
-    List<String> otherRegions = new ArrayList<>();
+    List<Candidate> sameRegion = new ArrayList<>();
+    List<Candidate> otherRegions = new ArrayList<>();
     if (state.isReady()) {
+      HostCapacity own = state.settings.capacity();
       (state.settings.region().equals(region) ? sameRegion : otherRegions)
-          .add(state.settings.callers());
+          .add(new Candidate(state.settings.callers(), own.cores(), own.linkMbps()));
     }
     for (HostBeat beat : state.hosts.heartbeatsWithin(MAX_HEARTBEAT_AGE_MILLIS)) {
       if (beat.getReady() && !beat.getLeaving()) {
-        (beat.getRegion().equals(region) ? sameRegion : otherRegions).add(beat.getCallersAddress());
+        (beat.getRegion().equals(region) ? sameRegion : otherRegions)
+            .add(new Candidate(beat.getCallersAddress(), beat.getCores(), beat.getLinkMbps()));
       }
     }
-    List<String> selected = sameRegion.isEmpty() ? otherRegions : sameRegion;
-    Collections.shuffle(selected, ThreadLocalRandom.current());
+    Random random = ThreadLocalRandom.current();
+    List<String> selected =
+        HostAdvice.select(sameRegion.isEmpty() ? otherRegions : sameRegion, random::nextDouble);
+    Collections.shuffle(selected, random);
     return selected.size() > wire.maxDirectoryAddresses()
         ? List.copyOf(selected.subList(0, wire.maxDirectoryAddresses()))
         : selected;
--- a/steering/src/main/java/verbenahatch/steering/SteeringState.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringState.java
@@ -445,6 +445,8 @@
             .setEvacuationsRevision(evacuationFeed.newestChange());
     heartbeat.addAllUses(targets.exchangeUse(hosts.live()));
     heartbeat.setUptimeMillis(hosts.uptimeMillis());
+    heartbeat.setCores((float) settings.capacity().cores());
+    heartbeat.setLinkMbps((float) settings.capacity().linkMbps());
     quotas.writeDemands(heartbeat);
     releases.addEvidence(heartbeat);
     return heartbeat.build();
--- a/steering/src/main/java/verbenahatch/steering/model/SettingsReader.java
+++ b/steering/src/main/java/verbenahatch/steering/model/SettingsReader.java
@@ -13,6 +13,7 @@
 import verbenahatch.kernel.Result;
 import verbenahatch.model.Fault;
 import verbenahatch.steering.model.SteeringSettings.Bounds;
+import verbenahatch.steering.model.SteeringSettings.HostCapacity;
 
 /** Reads and validates the settings of a steering process, which are JSON with comments. */
 public final class SettingsReader {
@@ -32,6 +33,9 @@
           "seeds",
           "regionsByZone",
           "firstStart",
+          "cpuShare",
+          "cores",
+          "linkMbps",
           "stopTime",
           "directoryTimeToLive",
           "quotaWindow",
@@ -98,6 +102,7 @@
         seeds(),
         regionsByZone(),
         flag("firstStart"),
+        new HostCapacity(number("cpuShare", 0) * number("cores", 1), number("linkMbps", 0)),
         new Bounds(
             millis("stopTime", DEFAULT_STOP_MILLIS),
             millis("directoryTimeToLive", Long.MAX_VALUE),
--- a/steering/src/main/java/verbenahatch/steering/model/SteeringSettings.java
+++ b/steering/src/main/java/verbenahatch/steering/model/SteeringSettings.java
@@ -23,6 +23,7 @@
  * @param seeds the addresses of hosts that may be contacted before the store responds
  * @param regionsByZone the region of each zone
  * @param firstStart whether all hosts start together for the first time
+ * @param capacity what the machine of the host can carry
  * @param bounds the bounds that the operators of the platform promise or demand
  */
 public record SteeringSettings(
@@ -39,6 +40,7 @@
     List<String> seeds,
     Map<String, String> regionsByZone,
     boolean firstStart,
+    HostCapacity capacity,
     Bounds bounds) {
 
   /** Copies the collections; treats null collections as empty and drops null and repeated seeds. */
@@ -50,6 +52,14 @@
             : Collections.unmodifiableMap(new LinkedHashMap<>(regionsByZone));
   }
 
+  /**
+   * Holds what the machine of a host can carry.
+   *
+   * @param cores the cores that the host may use; 0 if unknown
+   * @param linkMbps the bandwidth of its link in Mbit/s; 0 if unknown
+   */
+  public record HostCapacity(double cores, double linkMbps) {}
+
   /**
    * Holds the bounds that the operators of the platform promise or demand.
    *
--- a/steering/src/test/java/verbenahatch/steering/Samples.java
+++ b/steering/src/test/java/verbenahatch/steering/Samples.java
@@ -13,6 +13,7 @@
 import verbenahatch.steering.model.SteeringDocument.SteeringWorkspace;
 import verbenahatch.steering.model.SteeringSettings;
 import verbenahatch.steering.model.SteeringSettings.Bounds;
+import verbenahatch.steering.model.SteeringSettings.HostCapacity;
 import verbenahatch.steering.model.TargetRecord;
 
 /** Creates sample values for tests. */
@@ -44,6 +45,7 @@
         List.of(),
         ZONES,
         false,
+        new HostCapacity(0, 0),
         bounds);
   }
 
