Rank targets of an object by address and size, and agree on a second one

Targets were ranked by the hash of their registry id, so that a target which registered again got other objects, and without regard to their slots. Hosts of a large fleet agreed on the first target of an object only; what it had no room for went to any target, where the object was cold.

The selector now uses TargetRanking: the key is service, address and port, the weight is the number of slots. In a large fleet hosts also agree on a second target, and leave the first one if its load exceeds 1.25 times the mean of its region while the second one has room. Small fleets keep one preferred target.

ObjectTargetsTest.newEntryOfTargetKeepsItsObjects fails before. The targets of Samples get ports of their own, as two targets at one address were one key.

--- a/steering/src/main/java/verbenahatch/steering/Target.java
+++ b/steering/src/main/java/verbenahatch/steering/Target.java
@@ -4,6 +4,8 @@
 import java.util.concurrent.atomic.AtomicInteger;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.kernel.Hashing;
+import verbenahatch.routing.TargetKey;
+import verbenahatch.routing.TargetRanking;
 import verbenahatch.steering.model.TargetRecord;
 import verbenahatch.steering.model.WireProtocol.TargetLoad;
 
@@ -48,6 +50,10 @@
 
   final String region;
   final long idHash;
+
+  /** The hash by which the target is ranked for objects; outlasts a new entry of the target. */
+  final long keyHash;
+
   final AtomicInteger inFlight = new AtomicInteger();
   final RecentObjects recentObjects = new RecentObjects();
   private volatile TargetRecord record;
@@ -72,6 +78,7 @@
     this.record = record;
     this.region = region;
     this.idHash = Hashing.of(record.id());
+    this.keyHash = TargetKey.hash(record.service(), record.address(), record.port(), record.id());
     this.coldUntilNanos = nowNanos + TimeUnit.MILLISECONDS.toNanos(record.coldMillis());
     this.ejectedUntilNanos = nowNanos;
     this.backOffUntilNanos = nowNanos;
@@ -83,6 +90,11 @@
     return record;
   }
 
+  /** Returns the number of requests that the target runs at the same time, at least 1. */
+  int slots() {
+    return TargetRanking.boundedSize(record.slots());
+  }
+
   /** Replaces the registry entry by a newer one of the same incarnation. */
   void update(TargetRecord newRecord, long nowNanos) {
     record = newRecord;
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -158,11 +158,19 @@
     if (usable.isEmpty() && shortestBackOff != Long.MAX_VALUE) {
       return new Outcome.None(Double.MAX_VALUE, shortestBackOff);
     }
-    Map<String, Target> preferred = preferredTargets(usable, criteria);
+    ObjectTargets preferred =
+        new ObjectTargets(
+            criteria.objectHash,
+            criteria.namesObject ? usable : List.of(),
+            hosts.isSmallFleet(),
+            now);
     Map<String, Double> prices = slotPrices(usable, now);
     Map<String, Choice> byRegion = new HashMap<>();
     double shortestWait = Double.MAX_VALUE;
     for (Target target : usable) {
+      if (preferred.isOverloaded(target)) {
+        continue;
+      }
       double price = prices.getOrDefault(target.region, 0.0);
       Choice choice =
           estimate(target, cacheState(target, preferred, criteria), criteria, price, now);
@@ -193,24 +201,6 @@
     return Math.max(criteria.latencyBudgetMillis - choice.workMillis, criteria.maxWaitMillis);
   }
 
-  /** Returns the first target of each region in the hash order of the object. */
-  private static Map<String, Target> preferredTargets(List<Target> usable, Criteria criteria) {
-    Map<String, Target> preferred = new HashMap<>();
-    if (!criteria.namesObject) {
-      return preferred;
-    }
-    Map<String, Long> lowestHashes = new HashMap<>();
-    for (Target target : usable) {
-      long hash = Hashing.mix(target.idHash ^ criteria.objectHash);
-      Long lowestHash = lowestHashes.get(target.region);
-      if (lowestHash == null || hash < lowestHash) {
-        lowestHashes.put(target.region, hash);
-        preferred.put(target.region, target);
-      }
-    }
-    return preferred;
-  }
-
   /**
    * Returns the price of slot time by region, in ms per ms.
    *
@@ -222,7 +212,7 @@
     for (Target target : usable) {
       double[] loadAndSlots = sumsByRegion.computeIfAbsent(target.region, region -> new double[2]);
       loadAndSlots[0] += target.load(now);
-      loadAndSlots[1] += Math.max(1, target.record().slots());
+      loadAndSlots[1] += target.slots();
     }
     Map<String, Double> prices = new HashMap<>();
     sumsByRegion.forEach(
@@ -235,15 +225,14 @@
     return prices;
   }
 
-  private static CacheState cacheState(
-      Target target, Map<String, Target> preferred, Criteria criteria) {
+  private static CacheState cacheState(Target target, ObjectTargets preferred, Criteria criteria) {
     if (!criteria.namesObject) {
       return CacheState.COLD;
     }
     if (target.recentObjects.contains(criteria.objectHash)) {
       return CacheState.WARM;
     }
-    return preferred.get(target.region) == target ? CacheState.LIKELY_WARM : CacheState.COLD;
+    return preferred.state(target);
   }
 
   private static Choice cheaper(Choice first, Choice second) {
@@ -261,9 +250,8 @@
     double totalSlots = 0;
     for (Target target : criteria.service.targets) {
       if (regions.contains(target.region)) {
-        slotsByRegion.merge(
-            target.region, (double) Math.max(1, target.record().slots()), Double::sum);
-        totalSlots += Math.max(1, target.record().slots());
+        slotsByRegion.merge(target.region, (double) target.slots(), Double::sum);
+        totalSlots += target.slots();
       }
     }
     double ownSlots = slotsByRegion.getOrDefault(criteria.region, 0.0);
@@ -375,7 +363,7 @@
 
   private @Nullable Choice estimate(
       Target target, CacheState cacheState, Criteria criteria, double slotPrice, long now) {
-    int slots = Math.max(1, target.record().slots());
+    int slots = target.slots();
     double load = target.load(now);
     if (load >= slots * MAX_LOAD_PER_SLOT) {
       return null;
--- a/steering/src/test/java/verbenahatch/steering/Samples.java
+++ b/steering/src/test/java/verbenahatch/steering/Samples.java
@@ -50,7 +50,9 @@
   }
 
   static TargetRecord target(String id, String zone, String version) {
-    return new TargetRecord(id, "catalogue", "127.0.0.1", 80, zone, version, 3, false, 0, 1);
+    // Targets are ranked by their addresses, so each id has a port of its own.
+    int port = 1_024 + Math.floorMod(id.hashCode(), 60_000);
+    return new TargetRecord(id, "catalogue", "127.0.0.1", port, zone, version, 3, false, 0, 1);
   }
 
   static TargetRecord draining(TargetRecord record) {
@@ -67,6 +69,20 @@
         record.startedWallMillis());
   }
 
+  static TargetRecord withId(TargetRecord record, String id) {
+    return new TargetRecord(
+        id,
+        record.service(),
+        record.address(),
+        record.port(),
+        record.zone(),
+        record.version(),
+        record.slots(),
+        record.draining(),
+        record.coldMillis(),
+        record.startedWallMillis());
+  }
+
   static TargetRecord restarted(TargetRecord record, long coldMillis) {
     return new TargetRecord(
         record.id(),
