--- a/routing/src/main/java/verbenahatch/routing/TargetRanking.java
+++ b/routing/src/main/java/verbenahatch/routing/TargetRanking.java
@@ -39,6 +39,11 @@
 
   private final View<T> view;
 
+  /**
+   * Creates a ranking of targets.
+   *
+   * @param view reads the properties of a target
+   */
   public TargetRanking(View<T> view) {
     this.view = view;
   }
--- a/routing/src/main/java/verbenahatch/routing/WeightedRendezvous.java
+++ b/routing/src/main/java/verbenahatch/routing/WeightedRendezvous.java
@@ -18,6 +18,9 @@
  */
 public final class WeightedRendezvous<T> {
 
+  /** Factor on a score that exceeds the rounding errors of a multiplication and a division. */
+  private static final double ROUNDING_SLACK = 1 + 1e-12;
+
   private final int limit;
   private final List<T> members;
   private final double[] scores;
@@ -50,7 +53,7 @@
     double fraction = toFraction(hash);
     int size = members.size();
     // A score is at least f / weight, as -ln(1 - f) is at least f. This spares most logarithms.
-    if (size == limit && fraction / weight > scores[size - 1]) {
+    if (size == limit && fraction > scores[size - 1] * weight * ROUNDING_SLACK) {
       return;
     }
     // Math.log1p may differ in the last bit between platforms.
