Choose the region of an object by weighted rendezvous hashing

Objects lay at cumulative positions of the region weights, so that a shift of weight to the first or last region also moved objects of the region between. The weights are now those of a rendezvous ranking: a shift scales all regions but the preferred one alike, so that objects move only to the preferred one and only as many as weight; an outage moves only the objects of the region.

--- a/steering/src/main/java/verbenahatch/steering/RegionWeights.java
+++ b/steering/src/main/java/verbenahatch/steering/RegionWeights.java
@@ -4,6 +4,8 @@
 import java.util.Set;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
+import verbenahatch.kernel.Hashing;
+import verbenahatch.routing.WeightedRendezvous;
 
 /**
  * Holds the weights with which the requests of one service are distributed over regions.
@@ -26,6 +28,9 @@
   /** Factor on the allowed shift after a region has lost part of its targets. */
   private static final double LOSS_SHIFT_FACTOR = 5;
 
+  /** Weight of the usable regions, of all regions, below which none of them is selected. */
+  private static final double MIN_USABLE_WEIGHT = 0.001;
+
   private final double maxShiftPerSecond;
   private final Map<String, Double> weights = new TreeMap<>();
   private final LowDiscrepancySequence draws = new LowDiscrepancySequence(0);
@@ -57,8 +62,8 @@
    *
    * @param preferred the region expected to respond first
    * @param usable the regions that can take the request
-   * @param position the position of the request's object in the cumulative weights, from 0 to 1; if
-   *     less than 0, a position is drawn
+   * @param position a number from 0 to 1 that identifies the request's object, equal for equal
+   *     objects; if less than 0, the region is drawn
    * @param recentLoss whether targets were lost a short time ago
    * @param nowNanos the current time of the monotonic clock in ns
    * @return a usable region, null if none of the usable ones has a weight yet
@@ -66,7 +71,7 @@
   synchronized @Nullable String select(
       String preferred, Set<String> usable, double position, boolean recentLoss, long nowNanos) {
     shift(preferred, recentLoss, nowNanos);
-    return draw(usable, position < 0 ? draws.next() : position);
+    return position < 0 ? draw(usable, draws.next()) : rank(usable, position);
   }
 
   private void shift(String preferred, boolean recentLoss, long nowNanos) {
@@ -89,14 +94,41 @@
     weights.merge(preferred, moved, Double::sum);
   }
 
-  private @Nullable String draw(Set<String> usable, double position) {
+  /**
+   * Returns the region of an object.
+   *
+   * <p>A shift scales the weights of all regions but the preferred one by the same factor, which
+   * leaves their order for each object as it is. It therefore moves objects only to the preferred
+   * region, and only as many as weight.
+   */
+  private @Nullable String rank(Set<String> usable, double position) {
+    if (usableWeight(usable) < MIN_USABLE_WEIGHT) {
+      return null;
+    }
+    WeightedRendezvous<String> ranking = new WeightedRendezvous<>(1);
+    long objectHash = Double.doubleToLongBits(position);
+    for (Map.Entry<String, Double> entry : weights.entrySet()) {
+      String region = entry.getKey();
+      if (usable.contains(region)) {
+        ranking.add(region, Hashing.mix(Hashing.of(region) ^ objectHash), entry.getValue());
+      }
+    }
+    return ranking.toList().get(0);
+  }
+
+  private double usableWeight(Set<String> usable) {
     double sum = 0;
     for (Map.Entry<String, Double> entry : weights.entrySet()) {
       if (usable.contains(entry.getKey())) {
         sum += entry.getValue();
       }
     }
-    if (sum < 0.001) {
+    return sum;
+  }
+
+  private @Nullable String draw(Set<String> usable, double position) {
+    double sum = usableWeight(usable);
+    if (sum < MIN_USABLE_WEIGHT) {
       return null;
     }
     double remaining = position * sum;
