--- a/fleet/src/main/java/verbenahatch/fleet/Rendezvous.java
+++ b/fleet/src/main/java/verbenahatch/fleet/Rendezvous.java
@@ -1,10 +1,10 @@
 package verbenahatch.fleet;
 
 import java.util.Collection;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Optional;
 import verbenahatch.kernel.Hashing;
+import verbenahatch.routing.WeightedRendezvous;
 
 /**
  * Assigns roles to members by rendezvous hashing: every host with the same candidates selects the
@@ -12,6 +12,9 @@
  */
 public final class Rendezvous {
 
+  /** Members have no sizes; roles are spread evenly. */
+  private static final double EQUAL_WEIGHT = 1;
+
   private Rendezvous() {}
 
   /**
@@ -22,19 +25,19 @@
    * @return the selected member; empty if there is no candidate
    */
   public static Optional<Member> first(String role, Collection<Member> candidates) {
-    return candidates.stream().min(order(role));
+    return first(role, candidates, 1).stream().findFirst();
   }
 
   static List<Member> first(String role, Collection<Member> candidates, int count) {
-    return candidates.stream().sorted(order(role)).limit(count).toList();
-  }
-
-  private static Comparator<Member> order(String role) {
-    return Comparator.<Member>comparingLong(m -> weight(role, m.incarnation()))
-        .thenComparing(Member::incarnation);
+    WeightedRendezvous<Member> ranking =
+        new WeightedRendezvous<>(Math.min(count, candidates.size()));
+    for (Member candidate : candidates) {
+      ranking.add(candidate, hash(role, candidate.incarnation()), EQUAL_WEIGHT);
+    }
+    return ranking.toList();
   }
 
-  private static long weight(String role, String incarnation) {
+  private static long hash(String role, String incarnation) {
     long hash = Hashing.mix(role.hashCode());
     for (int i = 0; i < incarnation.length(); i++) {
       hash = Hashing.mix(hash ^ incarnation.charAt(i));
