Treat responses of targets with a status of 600 or above as failed attempts

The client library refuses statuses below 100 and those that are not three digits, but passes on 600 to 999, which reached callers as responses. ResponseStatus states which statuses a final response may have; an attempt with another one has failed, counts against its target and is retried if the request is idempotent.

--- a/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetAttempt.java
@@ -19,6 +19,7 @@
 import org.eclipse.jetty.http.HttpURI;
 import org.eclipse.jetty.io.Content;
 import org.jspecify.annotations.Nullable;
+import verbenahatch.http.ResponseStatus;
 import verbenahatch.steering.TargetSelector.Choice;
 import verbenahatch.steering.model.WireProtocol;
 import verbenahatch.steering.model.WireProtocol.TargetRequest;
@@ -295,9 +296,9 @@
   private void validate(Response response) {
     TargetResponse answer = wire.readResponse(response.getHeaders());
     String answeredId = answer.requestId();
-    if (HttpStatus.isInformational(response.getStatus())) {
-      // The final response would follow, but the library does not skip this one.
-      rejectionReason = "interim response in place of a final one";
+    if (!ResponseStatus.isFinal(response.getStatus())) {
+      // A final response may follow an interim one, but the library does not skip this one.
+      rejectionReason = ResponseStatus.describeInvalid(response.getStatus());
     } else if (answeredId != null && !answeredId.equals(requestId)) {
       rejectionReason = "response to another request: " + answeredId;
     } else if (answeredId == null && response.getStatus() < 400 && !answer.signed()) {
