Refuse invalid statuses and skip interim responses of targets in the gateway

The gateway passed on 600, 999 and 101 with a length of 0 to callers of HTTP/1 and HTTP/2 (a protocol error there), and a caller got nothing when its target sent 100, 102, 103 or 199: the library reports such a head as a response of its own. The status is now checked at the beginning of a response, and valid interim responses are skipped as in steering, whose InterimResponses moves to the http module. A health report with an invalid status counts as a failure.

--- a/gateway/src/main/java/verbenahatch/gateway/Attempt.java
+++ b/gateway/src/main/java/verbenahatch/gateway/Attempt.java
@@ -2,6 +2,7 @@
 
 import java.io.Serial;
 import java.net.ConnectException;
+import java.net.ProtocolException;
 import java.nio.channels.UnresolvedAddressException;
 import java.util.UUID;
 import java.util.concurrent.TimeUnit;
@@ -19,6 +20,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.http.CloseDelimitedResponse;
+import verbenahatch.http.ResponseStatus;
 import verbenahatch.http.VerbatimRequest;
 import verbenahatch.model.EnvironmentDocument.Target;
 
@@ -92,6 +94,7 @@
     upstream = targetRequest;
     targetRequest
         .onRequestBegin(this::beforeFirstByte)
+        .onResponseBegin(this::checkStatus)
         .onResponseContentSource(this::onResponse)
         .send(this::complete);
   }
@@ -136,6 +139,19 @@
     sent = true;
   }
 
+  /**
+   * Fails the attempt if its response has a status that no final response may have.
+   *
+   * <p>At the head of an interim response that is not skipped, the library reports no content to
+   * {@link #onResponse}.
+   */
+  private void checkStatus(Response response) {
+    int status = response.getStatus();
+    if (!ResponseStatus.isFinal(status)) {
+      response.abort(new ProtocolException(ResponseStatus.describeInvalid(status)));
+    }
+  }
+
   private void onResponse(Response response, Content.Source source) {
     responseStartNanos = exchange.context.clock().nanoTime();
     LoadReports.recordFromResponse(response.getHeaders(), slot.target(), responseStartNanos);
--- a/gateway/src/main/java/verbenahatch/gateway/LoadReports.java
+++ b/gateway/src/main/java/verbenahatch/gateway/LoadReports.java
@@ -5,6 +5,7 @@
 import org.eclipse.jetty.client.BufferingResponseListener;
 import org.eclipse.jetty.client.Result;
 import org.eclipse.jetty.http.HttpFields;
+import verbenahatch.http.ResponseStatus;
 import verbenahatch.kernel.Json;
 import verbenahatch.kernel.JsonException;
 import verbenahatch.model.EnvironmentDocument.Target;
@@ -95,7 +96,8 @@
           public void onComplete(Result result) {
             // A missing response is ignored: the endpoint may be slow while the target works.
             if (result.isSucceeded()) {
-              state.recordHealthReport(result.getResponse().getStatus() >= 500);
+              int status = result.getResponse().getStatus();
+              state.recordHealthReport(!ResponseStatus.isFinal(status) || status >= 500);
             }
           }
         });
--- a/gateway/src/main/java/verbenahatch/gateway/TargetClient.java
+++ b/gateway/src/main/java/verbenahatch/gateway/TargetClient.java
@@ -13,6 +13,7 @@
 import org.eclipse.jetty.io.ClientConnector;
 import org.eclipse.jetty.util.thread.Scheduler;
 import verbenahatch.http.IdleConnections;
+import verbenahatch.http.InterimResponses;
 
 /**
  * HTTP clients for requests to targets.
@@ -103,11 +104,11 @@
     return polls;
   }
 
-  /** Disables the decoding, redirects, responses and authentication of the client library. */
+  /** Disables the decoding, redirects and authentication of the client library. */
   void disableMessageProcessing() {
     for (HttpClient client : new HttpClient[] {pooled, singleUse, polls}) {
       client.getContentDecoderFactories().clear();
-      client.getProtocolHandlers().clear();
+      InterimResponses.replaceHandlers(client);
     }
   }
 
--- a/gateway/src/test/java/verbenahatch/gateway/RawCaller.java
+++ b/gateway/src/test/java/verbenahatch/gateway/RawCaller.java
@@ -1,13 +1,33 @@
 package verbenahatch.gateway;
 
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 
 /** Caller that sends raw bytes to the gateway, so that requests can be malformed. */
 final class RawCaller implements AutoCloseable {
 
+  /** What was read of a response until the connection ended. */
+  record Received(String head, byte[] body, boolean reset) {
+
+    boolean isChunked() {
+      return head.toLowerCase(Locale.ROOT).contains("transfer-encoding: chunked");
+    }
+
+    boolean looksComplete() {
+      String text = new String(body, StandardCharsets.ISO_8859_1);
+      String length = ScriptedTarget.header(head, "content-length");
+      if (!length.isEmpty()) {
+        return body.length >= Integer.parseInt(length);
+      }
+      return isChunked() ? text.endsWith("0\r\n\r\n") : !reset;
+    }
+  }
+
   private static final int READ_TIMEOUT_MILLIS = 5_000;
 
   private final Socket socket;
@@ -41,6 +61,23 @@
     return text.toString();
   }
 
+  /** Reads up to the end of the connection, which may be a reset. */
+  Received readToEnd(String head) throws IOException {
+    ByteArrayOutputStream body = new ByteArrayOutputStream();
+    InputStream in = socket.getInputStream();
+    byte[] buffer = new byte[8_192];
+    try {
+      for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+        body.write(buffer, 0, count);
+      }
+      return new Received(head, body.toByteArray(), false);
+    } catch (SocketTimeoutException e) {
+      throw e;
+    } catch (IOException e) {
+      return new Received(head, body.toByteArray(), true);
+    }
+  }
+
   @Override
   public void close() throws IOException {
     socket.close();
--- a/steering/src/main/java/verbenahatch/steering/InterimResponses.java
+++ b/http/src/main/java/verbenahatch/http/InterimResponses.java
@@ -1,6 +1,11 @@
-package verbenahatch.steering;
+package verbenahatch.http;
 
+import org.eclipse.jetty.client.ContinueProtocolHandler;
+import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
+import org.eclipse.jetty.client.HttpClient;
+import org.eclipse.jetty.client.ProcessingProtocolHandler;
 import org.eclipse.jetty.client.ProtocolHandler;
+import org.eclipse.jetty.client.ProtocolHandlers;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.client.Response;
 
@@ -10,7 +15,7 @@
  * <p>A further one is passed on like a final response, which ends the attempt: the library keeps
  * data for each that it skips, and a faulty target may send them without end.
  */
-final class InterimResponses implements ProtocolHandler {
+public final class InterimResponses implements ProtocolHandler {
 
   /** More than servers send; early hints may be sent more than once. */
   private static final int MAX_SKIPPED = 8;
@@ -19,13 +24,23 @@
 
   private final ProtocolHandler handler;
 
+  private InterimResponses(ProtocolHandler handler) {
+    this.handler = handler;
+  }
+
   /**
-   * Creates a handler.
+   * Replaces the protocol handlers of a client, among them those of redirects and authentication.
    *
-   * @param handler the handler of the library for one interim status
+   * <p>Without any handler an interim response would count as the final one.
+   *
+   * @param client a client that is started
    */
-  InterimResponses(ProtocolHandler handler) {
-    this.handler = handler;
+  public static void replaceHandlers(HttpClient client) {
+    ProtocolHandlers handlers = client.getProtocolHandlers();
+    handlers.clear();
+    handlers.put(new InterimResponses(new ContinueProtocolHandler()));
+    handlers.put(new InterimResponses(new ProcessingProtocolHandler()));
+    handlers.put(new InterimResponses(new EarlyHintsProtocolHandler()));
   }
 
   @Override
--- a/steering/src/main/java/verbenahatch/steering/TargetPool.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetPool.java
@@ -1,16 +1,13 @@
 package verbenahatch.steering;
 
 import java.util.concurrent.Executor;
-import org.eclipse.jetty.client.ContinueProtocolHandler;
-import org.eclipse.jetty.client.EarlyHintsProtocolHandler;
 import org.eclipse.jetty.client.HttpClient;
-import org.eclipse.jetty.client.ProcessingProtocolHandler;
-import org.eclipse.jetty.client.ProtocolHandlers;
 import org.eclipse.jetty.client.Request;
 import org.eclipse.jetty.http.HttpCookieStore;
 import org.eclipse.jetty.io.ByteBufferPool;
 import org.eclipse.jetty.util.thread.Scheduler;
 import verbenahatch.http.IdleConnections;
+import verbenahatch.http.InterimResponses;
 import verbenahatch.http.KeepAliveConnector;
 import verbenahatch.http.KeepAliveTransport;
 import verbenahatch.http.VerbatimRequest;
@@ -71,12 +68,7 @@
     client.start();
     // Responses of targets are forwarded unchanged: no decoding, redirects or authentication.
     client.getContentDecoderFactories().clear();
-    ProtocolHandlers handlers = client.getProtocolHandlers();
-    handlers.clear();
-    // Without these handlers an interim response would count as the final one.
-    handlers.put(new InterimResponses(new ContinueProtocolHandler()));
-    handlers.put(new InterimResponses(new ProcessingProtocolHandler()));
-    handlers.put(new InterimResponses(new EarlyHintsProtocolHandler()));
+    InterimResponses.replaceHandlers(client);
     return client;
   }
 
