Take no message with an invalid status for a response of the store or a host

BlockingClient (the store's client and feeds between hosts) returned 600, 999 and 101 as statuses. HttpObjectStore believed the body of a 600 or 999 that nothing had been written; the outcome of that write is not known.

--- a/http/src/main/java/verbenahatch/http/BlockingClient.java
+++ b/http/src/main/java/verbenahatch/http/BlockingClient.java
@@ -1,6 +1,7 @@
 package verbenahatch.http;
 
 import java.io.EOFException;
+import java.net.ProtocolException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -109,6 +110,10 @@
         new CompletableResponseListener(request, maxResponseBytes).send();
     try {
       ContentResponse response = future.get(timeoutMillis + connectMillis, TimeUnit.MILLISECONDS);
+      if (!ResponseStatus.isFinal(response.getStatus())) {
+        String reason = ResponseStatus.describeInvalid(response.getStatus());
+        return noResponse(request, new ProtocolException(reason));
+      }
       if (!isEndKnown(response)) {
         return noResponse(request, new EOFException("response without length and chunks"));
       }
--- a/http/src/test/java/verbenahatch/http/BlockingClientResponseTest.java
+++ b/http/src/test/java/verbenahatch/http/BlockingClientResponseTest.java
@@ -11,6 +11,8 @@
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import org.eclipse.jetty.client.BytesRequestContent;
+import org.eclipse.jetty.client.Request;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.condition.EnabledIfSystemProperty;
@@ -119,6 +121,36 @@
     assertInstanceOf(Outcome.NoResponse.class, call("/a"));
   }
 
+  /** A part of a response that ended an upload early was a valid document for its reader. */
+  @ParameterizedTest
+  @CsvSource({"0, ''", "1500000, ''", "3000000, ''", "0, chunked", "1500000, chunked"})
+  void partOfResponseDuringUploadIsNoResponse(int readBytes, String encoding) {
+    String chunked = "Transfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n";
+    serve(
+        (path, socket) -> {
+          socket.getInputStream().skipNBytes(readBytes);
+          write(socket, "HTTP/1.1 200 OK\r\n" + (encoding.isEmpty() ? "\r\n{}" : chunked));
+          socket.setSoLinger(true, 0);
+          return false;
+        });
+    Request upload =
+        client
+            .newRequest("127.0.0.1", server.getLocalPort())
+            .method("PUT")
+            .body(new BytesRequestContent(new byte[3_000_000]));
+    assertInstanceOf(Outcome.NoResponse.class, client.call(upload, 2_000));
+  }
+
+  /** 600 and 999 were returned as statuses of the server. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "600", "999", "20", "0200", "2x0", "101", "199"})
+  void responseWithInvalidStatusIsNoResponse(String status) {
+    serve(
+        (path, socket) ->
+            write(socket, "HTTP/1.1 " + status + " X\r\nContent-Length: 2\r\n\r\n{}"));
+    assertInstanceOf(Outcome.NoResponse.class, call("/a"));
+  }
+
   /** The status alone is the response. */
   @ParameterizedTest
   @ValueSource(
--- a/standins/src/test/java/verbenahatch/standins/HttpObjectStoreResponseTest.java
+++ b/standins/src/test/java/verbenahatch/standins/HttpObjectStoreResponseTest.java
@@ -120,6 +120,18 @@
     assertInstanceOf(StoreError.Unsettled.class, store.put("a", new byte[0], 0, "w1").error());
   }
 
+  /** A write was reported as not done on the word of a response that is none. */
+  @ParameterizedTest
+  @ValueSource(strings = {"000", "099", "600", "999", "20", "0200", "2x0", "101", "199"})
+  void responseWithInvalidStatusTellsNothing(String status) {
+    String head = "HTTP/1.1 " + status + " X\r\nContent-Length: ";
+    String body = "{\"reason\":\"x\",\"currentVersion\":1,\"written\":false}";
+    serve((line, socket) -> write(socket, head + body.length() + "\r\n\r\n" + body));
+    assertInstanceOf(StoreError.Unavailable.class, store.get("a").error());
+    assertInstanceOf(StoreError.Unsettled.class, store.put("a", new byte[0], 0, "w1").error());
+    assertInstanceOf(StoreError.Unsettled.class, store.delete("a", 1, "w1").error());
+  }
+
   /** The copy of a response to one call was taken for that to another if it came late. */
   @ParameterizedTest
   @ValueSource(strings = {"get", "put", "delete"})
--- a/store/src/main/java/verbenahatch/store/HttpCall.java
+++ b/store/src/main/java/verbenahatch/store/HttpCall.java
@@ -1,6 +1,7 @@
 package verbenahatch.store;
 
 import java.io.IOException;
+import java.net.ProtocolException;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutionException;
 import java.util.concurrent.TimeUnit;
@@ -9,6 +10,7 @@
 import org.eclipse.jetty.client.CompletableResponseListener;
 import org.eclipse.jetty.client.ContentResponse;
 import org.eclipse.jetty.client.Request;
+import verbenahatch.http.ResponseStatus;
 
 /** Sends one HTTP request within a timeout and reports whether any byte may have been sent. */
 final class HttpCall {
@@ -40,7 +42,11 @@
     try {
       ContentResponse response =
           future.get(timeoutMillis + TIMEOUT_GRACE_MILLIS, TimeUnit.MILLISECONDS);
-      return new Outcome.ResponseReceived(response.getStatus(), response.getContent());
+      int status = response.getStatus();
+      if (!ResponseStatus.isFinal(status)) {
+        return fail(new ProtocolException(ResponseStatus.describeInvalid(status)), false);
+      }
+      return new Outcome.ResponseReceived(status, response.getContent());
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       return fail(e, false);
