--- a/http/src/main/java/verbenahatch/http/BlockingClient.java
+++ b/http/src/main/java/verbenahatch/http/BlockingClient.java
@@ -35,10 +35,11 @@
      * A complete response was received.
      *
      * @param status the HTTP status code
+     * @param fields the header fields
      * @param body the response body, empty if there was none
      */
     @SuppressWarnings("ArrayRecordComponent")
-    record Received(int status, byte[] body) implements Outcome {}
+    record Received(int status, HttpFields fields, byte[] body) implements Outcome {}
 
     /**
      * No complete response was received; the server may have executed the request or may still
@@ -113,7 +114,8 @@
         return noResponse(request, new EOFException("response without length and chunks"));
       }
       byte[] content = response.getContent();
-      return new Outcome.Received(response.getStatus(), content == null ? new byte[0] : content);
+      return new Outcome.Received(
+          response.getStatus(), response.getHeaders(), content == null ? new byte[0] : content);
     } catch (InterruptedException e) {
       Thread.currentThread().interrupt();
       request.abort(e);
--- a/steering/src/main/java/verbenahatch/steering/EntryServer.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryServer.java
@@ -93,7 +93,8 @@
     pool = new TargetPool(threads, timer, buffers);
     RequestLog log = new RequestLog(state.clock, state.events);
     context =
-        new EntryContext(state, wire, pool, timer, new SteeringMetrics(kernel.metrics()), log);
+        new EntryContext(
+            state, wire, pool, timer, new SteeringMetrics(kernel.metrics(), state.eras::seen), log);
     kernel.repeat("request-log", java.time.Duration.ofSeconds(1), log::flush);
     directory = new Directory(state, wire);
     server = new Server(threads, timer, buffers);
--- a/steering/src/main/java/verbenahatch/steering/FeedLag.java
+++ b/steering/src/main/java/verbenahatch/steering/FeedLag.java
@@ -2,9 +2,10 @@
 
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongSupplier;
-import java.util.function.ToLongFunction;
+import java.util.function.Function;
+import java.util.function.Supplier;
 import verbenahatch.peer.generated.HostBeat;
+import verbenahatch.steering.model.StoreRevision;
 
 /**
  * Detects that a feed of this host lags behind the same feed of another host.
@@ -15,8 +16,8 @@
  */
 final class FeedLag {
 
-  private final ToLongFunction<HostBeat> newestOfPeer;
-  private final LongSupplier newestOfThisHost;
+  private final Function<HostBeat, StoreRevision> newestOfPeer;
+  private final Supplier<StoreRevision> newestOfThisHost;
   private final Runnable refresh;
   private boolean behind;
   private long behindSinceNanos;
@@ -28,7 +29,10 @@
    * @param newestOfThisHost returns the change up to which this host has read the feed
    * @param refresh reads the feed again
    */
-  FeedLag(ToLongFunction<HostBeat> newestOfPeer, LongSupplier newestOfThisHost, Runnable refresh) {
+  FeedLag(
+      Function<HostBeat, StoreRevision> newestOfPeer,
+      Supplier<StoreRevision> newestOfThisHost,
+      Runnable refresh) {
     this.newestOfPeer = newestOfPeer;
     this.newestOfThisHost = newestOfThisHost;
     this.refresh = refresh;
@@ -56,9 +60,9 @@
   }
 
   private boolean isBehind(List<HostBeat> heartbeats) {
-    long own = newestOfThisHost.getAsLong();
+    StoreRevision own = newestOfThisHost.get();
     for (HostBeat heartbeat : heartbeats) {
-      if (newestOfPeer.applyAsLong(heartbeat) > own) {
+      if (newestOfPeer.apply(heartbeat).isAfter(own)) {
         return true;
       }
     }
--- a/steering/src/main/java/verbenahatch/steering/RegistryOutage.java
+++ b/steering/src/main/java/verbenahatch/steering/RegistryOutage.java
@@ -1,5 +1,7 @@
 package verbenahatch.steering;
 
+import verbenahatch.steering.model.StoreRevision;
+
 /**
  * Determines since when the registry has been reachable again after this host lost it.
  *
@@ -11,7 +13,7 @@
 
   private boolean lost;
   private boolean reachedByPeers;
-  private long revisionAtLoss;
+  private StoreRevision revisionAtLoss = StoreRevision.NONE;
   private long reachedByPeersNanos;
 
   /**
@@ -19,7 +21,7 @@
    *
    * @param newestRevision the newest revision that this host or another one had received by then
    */
-  synchronized void markLost(long newestRevision) {
+  synchronized void markLost(StoreRevision newestRevision) {
     lost = true;
     reachedByPeers = false;
     revisionAtLoss = newestRevision;
@@ -33,8 +35,8 @@
    * @param revision the newest revision of another host
    * @param nowNanos the current time in ns
    */
-  synchronized void observePeerRevision(long revision, long nowNanos) {
-    if (lost && !reachedByPeers && revision > revisionAtLoss) {
+  synchronized void observePeerRevision(StoreRevision revision, long nowNanos) {
+    if (lost && !reachedByPeers && revision.isAfter(revisionAtLoss)) {
       reachedByPeers = true;
       reachedByPeersNanos = nowNanos;
     }
--- a/steering/src/main/java/verbenahatch/steering/ReleaseTable.java
+++ b/steering/src/main/java/verbenahatch/steering/ReleaseTable.java
@@ -55,6 +55,12 @@
   /** An unknown version gets no requests for this time, because its order may still arrive. */
   private static final long UNKNOWN_VERSION_HOLD_MILLIS = 1_500;
 
+  /**
+   * Time after a restore of the store after which any host writes the state of a release again. By
+   * then the leader has done so, unless it started after the restore and does not know the state.
+   */
+  private static final long REWRITE_MILLIS = 2_000;
+
   /** Counts the requests of one route by version since the order. */
   private static final class RouteCounts {
     final LongAdder newRequests = new LongAdder();
@@ -65,6 +71,14 @@
 
   private static final class Release {
     volatile ReleaseOrder order;
+
+    /** The state in force; later than that of the order if the store lost it in a restore. */
+    volatile State state;
+
+    /** Whether the store was restored and has not shown the state in force since. */
+    volatile boolean restored;
+
+    volatile long restoredNanos;
     final long firstSeenNanos;
     volatile long elapsedMillis;
     volatile boolean halted;
@@ -74,6 +88,7 @@
 
     Release(ReleaseOrder order, long nowNanos) {
       this.order = order;
+      this.state = order.state();
       this.firstSeenNanos = nowNanos;
     }
   }
@@ -108,15 +123,41 @@
     this.bounds = bounds;
   }
 
-  /** Starts a release, or applies a newer state of one; an older state is ignored. */
+  /** Puts the given orders in force, by service, and ends the releases of all other services. */
+  synchronized void replace(Map<String, ReleaseOrder> orders) {
+    orders.values().forEach(this::put);
+    releases.keySet().retainAll(orders.keySet());
+  }
+
+  /**
+   * Returns whether an order of a restored store takes the place of one that was in force before.
+   *
+   * <p>An order for another version whose revision is not above that of the older one may come from
+   * the backup, so that the order in force is the newer one.
+   */
+  static boolean replaces(ReleaseOrder shown, ReleaseOrder held) {
+    return shown.version().equals(held.version())
+        || shown.revision().number() > held.revision().number();
+  }
+
+  /**
+   * Starts a release, or applies a newer state of one; an older state is ignored.
+   *
+   * <p>After a restore of the store an order for the same version continues its release, and the
+   * state in force does not go back.
+   */
   synchronized void put(ReleaseOrder order) {
     Release current = releases.get(order.service());
+    long currentEra = current == null ? 0 : current.order.revision().era();
+    if (order.revision().era() < currentEra) {
+      return;
+    }
+    boolean restored = current != null && order.revision().era() > currentEra;
     if (current != null
-        && current.order.created() == order.created()
+        && (restored || current.order.created() == order.created())
         && current.order.version().equals(order.version())) {
-      if (order.revision() > current.order.revision()) {
-        current.order = order;
-        log(current, "state-" + order.state());
+      if (order.revision().isAfter(current.order.revision())) {
+        apply(current, order, restored);
       }
       return;
     }
@@ -125,8 +166,20 @@
     log(release, "ordered-" + order.state());
   }
 
-  synchronized void remove(String service) {
-    releases.remove(service);
+  private void apply(Release release, ReleaseOrder order, boolean restored) {
+    release.order = order;
+    if (restored) {
+      release.restored = true;
+      release.restoredNanos = clock.nanoTime();
+    }
+    boolean isBehind = order.state().ordinal() < release.state.ordinal();
+    if (release.restored && isBehind) {
+      log(release, "restored-" + order.state());
+      return;
+    }
+    release.restored = false;
+    release.state = order.state();
+    log(release, "state-" + order.state());
   }
 
   /**
@@ -157,7 +210,7 @@
       return new VersionRule(null, unknownVersion(service));
     }
     String version = release.order.version();
-    State state = release.order.state();
+    State state = release.state;
     if (state == State.COMPLETED) {
       return new VersionRule(version, null);
     }
@@ -175,7 +228,7 @@
     if (release == null || rule.required() == null || release.exposure >= 1) {
       return rule;
     }
-    boolean completed = release.order.state() == State.COMPLETED;
+    boolean completed = release.state == State.COMPLETED;
     return completed ? rule : new VersionRule(null, release.order.version());
   }
 
@@ -200,7 +253,7 @@
    */
   void record(String service, String route, String version, boolean failed) {
     Release release = releases.get(service);
-    if (release == null || release.order.state().ordinal() > State.RUNNING.ordinal()) {
+    if (release == null || !isOpen(release)) {
       return;
     }
     RouteCounts counts = release.routes.computeIfAbsent(route, r -> new RouteCounts());
@@ -217,17 +270,28 @@
   /** Updates the exposure of every release; the leader also records changes of state. */
   void tick(boolean storeReachable, PlatformStore store) {
     for (Release release : releases.values()) {
-      if (release.order.state().ordinal() > State.RUNNING.ordinal()) {
+      if (isOpen(release)) {
+        haltIfBad(release);
+        updateExposure(release);
+      } else if (!release.restored) {
         continue;
       }
-      haltIfBad(release);
-      updateExposure(release);
       if (hosts.isLeader(storeReachable)) {
         recordState(release, store);
+      } else if (storeReachable && isRewriteDue(release)) {
+        write(release.order, release.state, store);
       }
     }
   }
 
+  private static boolean isOpen(Release release) {
+    return release.state.ordinal() <= State.RUNNING.ordinal();
+  }
+
+  private boolean isRewriteDue(Release release) {
+    return release.restored && clock.nanoTime() - release.restoredNanos >= toNanos(REWRITE_MILLIS);
+  }
+
   private void updateExposure(Release release) {
     long now = clock.nanoTime();
     long elapsed = (now - release.firstSeenNanos) / 1_000_000;
@@ -254,16 +318,21 @@
 
   private void recordState(Release release, PlatformStore store) {
     ReleaseOrder order = release.order;
-    State nextState = order.state() == State.ORDERED ? State.RUNNING : order.state();
+    State nextState = release.state == State.ORDERED ? State.RUNNING : release.state;
     double timeFraction = (double) release.elapsedMillis / Math.max(1, order.durationMillis());
-    if (release.halted) {
+    if (release.halted && isOpen(release)) {
       nextState = State.ROLLED_BACK;
-    } else if (release.exposure >= 1 && timeFraction >= COMPLETION_TIME_FRACTION) {
+    } else if (isOpen(release)
+        && release.exposure >= 1
+        && timeFraction >= COMPLETION_TIME_FRACTION) {
       nextState = State.COMPLETED;
     }
-    if (nextState == order.state()) {
-      return;
+    if (nextState != order.state()) {
+      write(order, nextState, store);
     }
+  }
+
+  private void write(ReleaseOrder order, State nextState, PlatformStore store) {
     Result<Boolean, WriteError> written = store.putReleaseState(order, nextState);
     if (!written.isOk()) {
       events.log(
@@ -365,7 +434,7 @@
    */
   void addEvidence(HostBeat.Builder heartbeat) {
     for (Release release : releases.values()) {
-      if (release.order.state().ordinal() > State.RUNNING.ordinal()) {
+      if (!isOpen(release)) {
         continue;
       }
       // An entry without a route transmits elapsed time and halt while there are no counts.
@@ -398,7 +467,7 @@
                 service,
                 release.order.version()
                     + " "
-                    + release.order.state()
+                    + release.state
                     + " share "
                     + release.exposure
                     + (release.halted ? " halted" : "")));
--- a/steering/src/main/java/verbenahatch/steering/SteeringEvent.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringEvent.java
@@ -62,7 +62,9 @@
   RESPONSE_BROKEN_OFF(
       1124, Level.INFO, "response-broken-off id={} target={} delimited_by={} reason={}"),
   /** A target stated that it did not run a request. */
-  TARGET_REFUSED(1125, Level.INFO, "target-refused id={} target={} status={} local_port={}");
+  TARGET_REFUSED(1125, Level.INFO, "target-refused id={} target={} status={} local_port={}"),
+  /** The store came back from a backup, so that writes are lost and revisions are issued again. */
+  STORE_RESTORED(1130, Level.WARN, "store-restored era={} previous={}");
 
   private final Definition definition;
 
--- a/steering/src/main/java/verbenahatch/steering/SteeringHost.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringHost.java
@@ -119,6 +119,7 @@
     view.put("ready", state.isReady());
     view.put("leaving", state.isLeaving());
     view.put("storeReachable", state.storeReachable());
+    view.put("storeEra", state.eras.current());
     view.put("targets", state.targets.size());
     view.put("evacuated", state.targets.evacuated());
     view.put("releases", state.releases.view());
--- a/steering/src/main/java/verbenahatch/steering/SteeringMetrics.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringMetrics.java
@@ -1,8 +1,10 @@
 package verbenahatch.steering;
 
 import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.CounterWithCallback;
 import io.prometheus.metrics.core.metrics.Histogram;
 import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.util.function.LongSupplier;
 
 /** Holds the metrics of the request path. */
 final class SteeringMetrics {
@@ -15,7 +17,18 @@
   final Counter admissions;
   final Histogram requestSeconds;
 
-  SteeringMetrics(PrometheusRegistry registry) {
+  /**
+   * Registers the metrics.
+   *
+   * @param registry the registry of the process
+   * @param erasSeen returns the number of eras of the store that were seen
+   */
+  SteeringMetrics(PrometheusRegistry registry, LongSupplier erasSeen) {
+    CounterWithCallback.builder()
+        .name("verbenahatch_steering_store_eras_total")
+        .help("Eras of the store that this process has seen; above 1 after a restore.")
+        .callback(callback -> callback.call(erasSeen.getAsLong()))
+        .register(registry);
     requests =
         Counter.builder()
             .name("verbenahatch_steering_requests_total")
--- a/steering/src/main/java/verbenahatch/steering/SteeringState.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringState.java
@@ -1,15 +1,13 @@
 package verbenahatch.steering;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.BiConsumer;
 import java.util.function.Consumer;
+import java.util.function.ToLongFunction;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.kernel.Clock;
 import verbenahatch.kernel.Closer;
@@ -24,6 +22,7 @@
 import verbenahatch.steering.feed.HostMessages;
 import verbenahatch.steering.feed.PeerFeeds;
 import verbenahatch.steering.feed.ReleaseMessages;
+import verbenahatch.steering.feed.StoreEras;
 import verbenahatch.steering.feed.TargetMessages;
 import verbenahatch.steering.feed.ZoneMessages;
 import verbenahatch.steering.model.Feed;
@@ -35,6 +34,7 @@
 import verbenahatch.steering.model.SteeringDocument;
 import verbenahatch.steering.model.SteeringDocument.SteeringService;
 import verbenahatch.steering.model.SteeringSettings;
+import verbenahatch.steering.model.StoreRevision;
 import verbenahatch.steering.model.TargetRecord;
 import verbenahatch.steering.quota.Admission;
 
@@ -59,9 +59,6 @@
   /** Time within which all hosts register when the whole system starts for the first time. */
   private static final long FIRST_START_MILLIS = 1_000;
 
-  /** Pause after a write of this host's record, so that the feed can confirm it meanwhile. */
-  private static final long WRITE_PAUSE_MILLIS = 2_000;
-
   final Clock clock;
   final Events events;
   final SteeringSettings settings;
@@ -71,6 +68,7 @@
   private final RegistryOutage outage = new RegistryOutage();
   final ReleaseTable releases;
   final TargetSelector selector;
+  final StoreEras eras = new StoreEras(this::onNewEra);
   private final PlatformStore store;
   private final AtomicReference<@Nullable DocumentIndex> document = new AtomicReference<>();
   private final Closer closer = new Closer();
@@ -83,14 +81,14 @@
   private final Follower<ReleaseOrder> releaseFeed;
   private final Follower<String> evacuationFeed;
   private final Follower<HostRecord> hostFeed;
-  private final Map<String, HostRecord> hostRecords = new HashMap<>();
-  private final Set<String> evacuated = new TreeSet<>();
+  private final RestoreHold<ReleaseOrder> releaseHold;
+  private final RestoreHold<String> evacuationHold;
+  private final RestoreHold<HostRecord> hostHold;
   private final HostRecord self;
   private final long startNanos;
   final StopSignal stopSignal;
   private volatile boolean leaving;
-  private volatile boolean registered;
-  private long nextWriteNanos;
+  private final HostRegistration registration;
   private final List<FeedLag> feedLags;
 
   SteeringState(
@@ -106,7 +104,6 @@
     this.store = store;
     this.stopSignal = stopSignal;
     this.startNanos = clock.nanoTime();
-    this.nextWriteNanos = startNanos;
     hosts = new HostTable(clock, events, settings, incarnation);
     targets =
         new TargetTable(
@@ -122,8 +119,13 @@
             settings.region(),
             settings.callers(),
             settings.internalAddress() + ":" + settings.peerPort());
+    registration = new HostRegistration(self, startNanos);
+    releaseHold = new RestoreHold<>(ReleaseTable::replaces, releases::replace);
+    evacuationHold = new RestoreHold<>((shown, held) -> true, this::evacuate);
+    hostHold = new RestoreHold<>((shown, held) -> true, hosts::register);
+    store.observeEras(eras);
     relays = new FeedRelays(hosts, settings, this::storeFailed);
-    feedContext = new FeedContext(clock, events, closer.register(new PeerFeeds()), relays);
+    feedContext = new FeedContext(clock, events, closer.register(new PeerFeeds()), relays, eras);
     documentFeed =
         follower(
             "document",
@@ -146,13 +148,21 @@
     hostFeed = follower("hosts", store.hosts(), new HostMessages(), this::applyHosts);
     feedLags =
         List.of(
-            new FeedLag(HostBeat::getDocumentVersion, this::documentVersion, documentFeed::refresh),
-            new FeedLag(HostBeat::getTargetsRevision, targetFeed::revision, targetFeed::refresh),
-            new FeedLag(HostBeat::getReleasesRevision, releaseFeed::revision, releaseFeed::refresh),
+            // Versions of documents increase across restores of the store.
             new FeedLag(
-                HostBeat::getEvacuationsRevision,
-                evacuationFeed::revision,
-                evacuationFeed::refresh));
+                heartbeat -> new StoreRevision(0, heartbeat.getDocumentVersion()),
+                () -> new StoreRevision(0, documentVersion()),
+                documentFeed::refresh),
+            lag(HostBeat::getTargetsRevision, targetFeed),
+            lag(HostBeat::getReleasesRevision, releaseFeed),
+            lag(HostBeat::getEvacuationsRevision, evacuationFeed));
+  }
+
+  private static FeedLag lag(ToLongFunction<HostBeat> newestOfPeer, Follower<?> follower) {
+    return new FeedLag(
+        beat -> new StoreRevision(beat.getStoreEra(), newestOfPeer.applyAsLong(beat)),
+        follower::revision,
+        follower::refresh);
   }
 
   private <T> Follower<T> follower(
@@ -239,7 +249,16 @@
     }
   }
 
+  /** Lists all feeds again, because the store lost writes and issues revisions again. */
+  private void onNewEra(long era, long previousEra) {
+    events.log(SteeringEvent.STORE_RESTORED, era, previousEra);
+    followers.forEach(Follower::storeRestored);
+  }
+
   private void applyTargets(Changes<TargetRecord> changes, boolean complete) {
+    if (targetFeed.isListed() && changes.revision().era() > targetFeed.revision().era()) {
+      targets.storeRestored();
+    }
     releases.addVersions(changes.written().values());
     if (complete) {
       targets.replace(changes.written());
@@ -249,17 +268,15 @@
   }
 
   private void applyReleases(Changes<ReleaseOrder> changes, boolean complete) {
-    changes.written().values().forEach(releases::put);
-    changes.gone().forEach(releases::remove);
+    releaseHold.apply(changes, complete, clock.nanoTime());
   }
 
   private void applyEvacuations(Changes<String> changes, boolean complete) {
-    if (complete) {
-      evacuated.clear();
-    }
-    evacuated.addAll(changes.written().values());
-    evacuated.removeAll(changes.gone());
-    targets.evacuate(evacuated, longestColdStart());
+    evacuationHold.apply(changes, complete, clock.nanoTime());
+  }
+
+  private void evacuate(Map<String, String> zones) {
+    targets.evacuate(zones.keySet(), longestColdStart());
   }
 
   private long longestColdStart() {
@@ -274,12 +291,7 @@
   }
 
   private void applyHosts(Changes<HostRecord> changes, boolean complete) {
-    if (complete) {
-      hostRecords.clear();
-    }
-    hostRecords.putAll(changes.written());
-    hostRecords.keySet().removeAll(changes.gone());
-    hosts.register(hostRecords);
+    hostHold.apply(changes, complete, clock.nanoTime());
   }
 
   /** Returns the document in force, null before the first one. */
@@ -334,6 +346,9 @@
   /** Does the periodic work that does not call the store. */
   void tick() {
     targets.expire();
+    releaseHold.expire(clock.nanoTime());
+    evacuationHold.expire(clock.nanoTime());
+    hostHold.expire(clock.nanoTime());
     hosts.logChanges();
     followers.forEach(Follower::checkSource);
     DocumentIndex current = document.get();
@@ -356,14 +371,16 @@
     if (reachable) {
       targets.registryRecovered(outage.markReachable(clock.nanoTime()));
     } else {
-      outage.markLost(Math.max(targetFeed.revision(), newestTargetsRevisionOfPeers()));
+      outage.markLost(StoreRevision.max(targetFeed.revision(), newestTargetsRevisionOfPeers()));
     }
   }
 
-  private long newestTargetsRevisionOfPeers() {
-    long newest = 0;
+  private StoreRevision newestTargetsRevisionOfPeers() {
+    StoreRevision newest = StoreRevision.NONE;
     for (HostBeat heartbeat : hosts.live()) {
-      newest = Math.max(newest, heartbeat.getTargetsRevision());
+      StoreRevision revision =
+          new StoreRevision(heartbeat.getStoreEra(), heartbeat.getTargetsRevision());
+      newest = StoreRevision.max(newest, revision);
     }
     return newest;
   }
@@ -379,36 +396,35 @@
 
   /** Does the periodic work that writes to the store; runs on a thread that may block. */
   void maintain() {
-    boolean isWriteDue = clock.nanoTime() - nextWriteNanos >= 0;
-    if (leaving && isWriteDue) {
-      nextWriteNanos = clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WRITE_PAUSE_MILLIS);
-      deregister();
-    }
-    if (!registered && !leaving && isWriteDue && hostFeed.isReachable()) {
-      nextWriteNanos = clock.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WRITE_PAUSE_MILLIS);
-      HostRecord registeredRecord = hosts.registered(self.name());
-      registered =
-          self.equals(registeredRecord) || confirmed("host/" + self.name(), store.putHost(self));
-    }
-    releases.tick(storeReachable(), store);
+    maintainRegistration();
+    // A state is written on the basis of the orders that the store holds in its current era.
+    boolean ordersCurrent = releaseFeed.revision().era() == eras.current();
+    releases.tick(storeReachable() && ordersCurrent, store);
     if (hosts.isLeader(storeReachable())) {
       for (String name : hosts.hostsWithoutHeartbeat(HOST_RECORD_EXPIRY_MILLIS, startNanos)) {
-        confirmed("host/" + name, store.removeHost(name));
+        if (confirmed("host/" + name, store.removeHost(name))) {
+          hostHold.drop(name);
+        }
       }
     }
-    if (registered
-        && isWriteDue
-        && hostFeed.isReachable()
-        && hosts.registered(self.name()) == null) {
-      // The record was removed while this host was timed out, or the feed has not shown the write.
-      registered = false;
-    }
   }
 
-  /** Removes this host's record from the store; a failed call is repeated after the pause. */
-  private void deregister() {
-    if (registered && confirmed("host/" + self.name(), store.removeHost(self.name()))) {
-      registered = false;
+  /** Writes or removes this host's record if that is due; a failed call is repeated. */
+  private void maintainRegistration() {
+    HostRegistration.View view =
+        new HostRegistration.View(
+            eras.current(),
+            hostFeed.isReachable(),
+            hostFeed.revision().era(),
+            hosts.registered(self.name()));
+    HostRegistration.Action action = registration.next(leaving, view, clock.nanoTime());
+    if (action == HostRegistration.Action.NONE) {
+      return;
+    }
+    boolean write = action == HostRegistration.Action.WRITE;
+    if (confirmed(
+        "host/" + self.name(), write ? store.putHost(self) : store.removeHost(self.name()))) {
+      registration.confirm(action);
     }
   }
 
@@ -426,6 +442,7 @@
    * @param sequence the number of the heartbeat, which grows with each one of this process
    */
   HostBeat heartbeat(long sequence) {
+    long era = eras.current();
     HostBeat.Builder heartbeat =
         HostBeat.newBuilder()
             .setHost(self.name())
@@ -440,9 +457,10 @@
             .setStoreReachable(!storeFailed())
             .setReadsStore(followers.stream().allMatch(Follower::readsStore))
             .setDocumentVersion(documentVersion())
-            .setTargetsRevision(targetFeed.newestChange())
-            .setReleasesRevision(releaseFeed.newestChange())
-            .setEvacuationsRevision(evacuationFeed.newestChange());
+            .setStoreEra(era)
+            .setTargetsRevision(newestChange(targetFeed, era))
+            .setReleasesRevision(newestChange(releaseFeed, era))
+            .setEvacuationsRevision(newestChange(evacuationFeed, era));
     heartbeat.addAllUses(targets.exchangeUse(hosts.live()));
     heartbeat.setUptimeMillis(hosts.uptimeMillis());
     quotas.writeDemands(heartbeat);
@@ -450,6 +468,12 @@
     return heartbeat.build();
   }
 
+  /** Returns the newest change of a feed in an era, 0 if it was not read in that era yet. */
+  private static long newestChange(Follower<?> follower, long era) {
+    StoreRevision newest = follower.newestChange();
+    return newest.era() == era ? newest.number() : 0;
+  }
+
   @Override
   public void close() throws Exception {
     closer.close();
--- a/steering/src/main/java/verbenahatch/steering/TargetTable.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetTable.java
@@ -38,6 +38,7 @@
   private final Map<String, ServiceTargets> services = new ConcurrentHashMap<>();
   private final Map<String, Target> byId = new HashMap<>();
   private final Map<String, Long> missingUntilNanos = new HashMap<>();
+  private final RestoredDrains drains = new RestoredDrains();
 
   /**
    * Start times, by id, of targets that announced their stop. An entry may expire in an outage of
@@ -118,12 +119,28 @@
     graceEndNanos = sinceNanos + TimeUnit.MILLISECONDS.toNanos(REREGISTRATION_MILLIS);
   }
 
-  /** Removes missing entries whose targets did not register again in time. */
+  /**
+   * Records that the store came back from a backup; must be called before its first list.
+   *
+   * <p>Targets register again what the backup lacks, and those that drained are still about to stop
+   * if it shows them as ready.
+   */
+  synchronized void storeRestored() {
+    registryRecovered(clock.nanoTime());
+    drains.storeRestored(clock.nanoTime());
+  }
+
+  /**
+   * Removes missing entries whose targets did not register again in time, and ends the hold of
+   * targets that the store shows as ready long after a restore.
+   */
   synchronized void expire() {
-    if (missingUntilNanos.isEmpty()) {
+    long now = clock.nanoTime();
+    List<TargetRecord> released = drains.expire(now);
+    if (missingUntilNanos.isEmpty() && released.isEmpty()) {
       return;
     }
-    long now = clock.nanoTime();
+    released.forEach(record -> put(record, now));
     List<String> expired = new ArrayList<>();
     missingUntilNanos.forEach(
         (id, untilNanos) -> {
@@ -132,20 +149,16 @@
           }
         });
     expired.forEach(this::remove);
-    if (!expired.isEmpty()) {
+    if (!expired.isEmpty() || !released.isEmpty()) {
       rebuild();
     }
   }
 
-  private void put(TargetRecord record, long now) {
+  private void put(TargetRecord shown, long now) {
+    TargetRecord record = drains.apply(shown);
     missingUntilNanos.remove(record.id());
     Target existing = byId.get(record.id());
-    boolean sameIncarnation =
-        existing != null
-            && existing.record().startedWallMillis() == record.startedWallMillis()
-            && existing.record().service().equals(record.service())
-            && existing.record().address().equals(record.address())
-            && existing.record().port() == record.port();
+    boolean sameIncarnation = existing != null && existing.record().isSameIncarnation(record);
     if (sameIncarnation && existing != null) {
       boolean startsDraining = record.draining() && !existing.record().draining();
       existing.update(record, now);
@@ -182,6 +195,7 @@
 
   private void remove(String id) {
     missingUntilNanos.remove(id);
+    drains.remove(id);
     Target existing = byId.remove(id);
     if (existing != null) {
       existing.markRemoved();
--- a/steering/src/main/java/verbenahatch/steering/feed/FeedContext.java
+++ b/steering/src/main/java/verbenahatch/steering/feed/FeedContext.java
@@ -10,5 +10,7 @@
  * @param events the log of the process
  * @param peers reads feeds from other hosts
  * @param sources selects the host to read a feed from
+ * @param eras tracks the era of the store
  */
-public record FeedContext(Clock clock, Events events, PeerFeeds peers, FeedSources sources) {}
+public record FeedContext(
+    Clock clock, Events events, PeerFeeds peers, FeedSources sources, StoreEras eras) {}
--- a/steering/src/main/java/verbenahatch/steering/feed/FeedLog.java
+++ b/steering/src/main/java/verbenahatch/steering/feed/FeedLog.java
@@ -7,6 +7,7 @@
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.steering.model.Feed.Changes;
+import verbenahatch.steering.model.StoreRevision;
 
 /**
  * Keeps the objects of a feed and their latest changes, so that other hosts can follow the feed.
@@ -23,15 +24,18 @@
   private final Map<String, T> objects = new HashMap<>();
   private final ArrayDeque<Changes<T>> changes = new ArrayDeque<>();
 
-  /** The oldest revision after which all changes are kept; negative before the first list. */
-  private long oldestResumableRevision = -1;
+  /** The oldest revision after which all changes are kept; null before the first list. */
+  private @Nullable StoreRevision oldestResumable;
 
-  private long revision;
-  private long newestChange;
+  private StoreRevision revision = StoreRevision.NONE;
+  private StoreRevision newestChange = StoreRevision.NONE;
 
   /**
    * Applies changes that were read.
    *
+   * <p>The changes before the first list of an era are discarded, since hosts that have not read in
+   * this era must list again.
+   *
    * @param received the changes, or a list of all objects, which is recorded as its difference from
    *     the objects held before
    * @param complete whether it is a list of all objects
@@ -40,17 +44,19 @@
     Changes<T> delta = complete ? differenceFrom(received) : received;
     objects.putAll(delta.written());
     objects.keySet().removeAll(delta.gone());
-    revision = Math.max(revision, received.revision());
-    newestChange = Math.max(newestChange, received.newestChange());
-    if (oldestResumableRevision < 0) {
-      oldestResumableRevision = revision;
+    boolean newEra = received.revision().era() > revision.era();
+    revision = StoreRevision.max(revision, received.revision());
+    newestChange = StoreRevision.max(newestChange, received.newestChange());
+    if (oldestResumable == null || newEra) {
+      changes.clear();
+      oldestResumable = revision;
       return;
     }
     if (!delta.written().isEmpty() || !delta.gone().isEmpty()) {
       changes.addLast(delta);
     }
     while (changes.size() > MAX_CHANGES) {
-      oldestResumableRevision = changes.removeFirst().revision();
+      oldestResumable = changes.removeFirst().revision();
     }
   }
 
@@ -70,7 +76,7 @@
 
   /** Returns all objects, null before the first list. */
   synchronized @Nullable Changes<T> all() {
-    if (oldestResumableRevision < 0) {
+    if (oldestResumable == null) {
       return null;
     }
     return new Changes<>(Map.copyOf(objects), Set.of(), revision, newestChange);
@@ -80,17 +86,18 @@
    * Returns the changes after a revision.
    *
    * @param afterRevision the revision up to which a host has read the feed
-   * @return the merged changes, possibly none; null before the first list, or if they are no longer
-   *     kept
+   * @return the merged changes, possibly none; null before the first list, if they are no longer
+   *     kept, or if the revision is of another era
    */
-  synchronized @Nullable Changes<T> since(long afterRevision) {
-    if (oldestResumableRevision < 0 || afterRevision < oldestResumableRevision) {
+  synchronized @Nullable Changes<T> since(StoreRevision afterRevision) {
+    StoreRevision oldest = oldestResumable;
+    if (oldest == null || oldest.isAfter(afterRevision) || afterRevision.era() != revision.era()) {
       return null;
     }
     Map<String, T> written = new HashMap<>();
     Set<String> gone = new HashSet<>();
     for (Changes<T> delta : changes) {
-      if (delta.revision() <= afterRevision) {
+      if (!delta.revision().isAfter(afterRevision)) {
         continue;
       }
       written.putAll(delta.written());
@@ -98,16 +105,16 @@
       written.keySet().removeAll(delta.gone());
       gone.addAll(delta.gone());
     }
-    return new Changes<>(written, gone, Math.max(afterRevision, revision), newestChange);
+    return new Changes<>(written, gone, StoreRevision.max(afterRevision, revision), newestChange);
   }
 
   /** Returns the revision up to which the feed was read. */
-  synchronized long revision() {
+  synchronized StoreRevision revision() {
     return revision;
   }
 
   /** Returns the revision of the newest change among the objects. */
-  synchronized long newestChange() {
+  synchronized StoreRevision newestChange() {
     return newestChange;
   }
 }
--- a/steering/src/main/java/verbenahatch/steering/feed/FeedPublisher.java
+++ b/steering/src/main/java/verbenahatch/steering/feed/FeedPublisher.java
@@ -18,6 +18,7 @@
 import verbenahatch.peer.generated.FeedAnswer;
 import verbenahatch.peer.generated.FeedObject;
 import verbenahatch.steering.model.Feed.Changes;
+import verbenahatch.steering.model.StoreRevision;
 
 /**
  * Responds to other hosts that follow the feeds of this one.
@@ -38,8 +39,10 @@
     FeedAnswer answer(Changes<T> changes, boolean complete) {
       FeedAnswer.Builder answer =
           FeedAnswer.newBuilder()
-              .setRevision(changes.revision())
-              .setNewestChange(changes.newestChange())
+              .setRevision(changes.revision().number())
+              .setEra(changes.revision().era())
+              .setNewestChange(changes.newestChange().number())
+              .setNewestChangeEra(changes.newestChange().era())
               .setComplete(complete)
               .setStoreLost(!follower.readsStore())
               .addAllGone(changes.gone());
@@ -57,13 +60,13 @@
 
   /** A request that waits for changes after a revision. */
   private static final class WaitingRequest {
-    final long afterRevision;
+    final StoreRevision afterRevision;
     final Response response;
     final Callback callback;
     final AtomicBoolean responded = new AtomicBoolean();
     volatile Scheduler.@Nullable Task timeout;
 
-    WaitingRequest(long afterRevision, Response response, Callback callback) {
+    WaitingRequest(StoreRevision afterRevision, Response response, Callback callback) {
       this.afterRevision = afterRevision;
       this.response = response;
       this.callback = callback;
@@ -103,8 +106,9 @@
   /**
    * Responds to a request of another host, at once or when the feed changes.
    *
-   * <p>The status is 404 for an unknown feed, 410 if the changes are no longer kept, and 503 if
-   * this host does not read the feed from the store at present.
+   * <p>The status is 404 for an unknown feed, 410 if the changes are no longer kept or the revision
+   * is of another era of the store, and 503 if this host does not read the feed from the store at
+   * present.
    *
    * @param request the request
    * @param response its response
@@ -124,7 +128,9 @@
       sendAll(feed, Boolean.parseBoolean(query.getValue("lost")), response, callback);
       return;
     }
-    WaitingRequest pending = new WaitingRequest(afterRevision, response, callback);
+    long era = Math.max(0, parseNumber(query, "era"));
+    WaitingRequest pending =
+        new WaitingRequest(new StoreRevision(era, afterRevision), response, callback);
     if (answer(feed, pending, false)) {
       return;
     }
--- a/steering/src/main/java/verbenahatch/steering/feed/Follower.java
+++ b/steering/src/main/java/verbenahatch/steering/feed/Follower.java
@@ -13,6 +13,7 @@
 import verbenahatch.steering.model.Feed;
 import verbenahatch.steering.model.Feed.Changes;
 import verbenahatch.steering.model.Feed.FeedError;
+import verbenahatch.steering.model.StoreRevision;
 
 /**
  * Follows one feed on its own thread: lists all objects, watches for changes, and lists again after
@@ -58,7 +59,7 @@
   private volatile boolean listed;
   private volatile boolean relist;
   private volatile boolean watching;
-  private volatile long revision;
+  private volatile StoreRevision revision = StoreRevision.NONE;
   private volatile long lostNanos;
   private volatile Runnable onChange = () -> {};
   private Duration watchWait = WATCH_WAIT;
@@ -106,6 +107,18 @@
     }
   }
 
+  /**
+   * Lists again, because the store was restored; called with each new era of the store.
+   *
+   * <p>Does nothing on the thread of this follower, whose call shows the new era itself.
+   */
+  public void storeRestored() {
+    if (Thread.currentThread() != thread) {
+      relist = true;
+      restartWatch();
+    }
+  }
+
   /** Starts to follow the feed. */
   public void start() {
     thread.start();
@@ -182,7 +195,7 @@
    *
    * @return a revision of the store
    */
-  public long revision() {
+  public StoreRevision revision() {
     return revision;
   }
 
@@ -191,7 +204,7 @@
    *
    * @return at most {@link #revision()}
    */
-  public long newestChange() {
+  public StoreRevision newestChange() {
     return log.newestChange();
   }
 
@@ -242,8 +255,9 @@
     }
     Changes<T> changes = result.get();
     markReachable();
-    // A list of a lagging store must not undo changes that a watch has already returned.
-    if (changes.revision() < revision) {
+    // A list of a lagging store must not undo changes that a watch has already returned, nor one
+    // that was sent before a restore those of the new era.
+    if (revision.isAfter(changes.revision())) {
       relist = true;
       return false;
     }
@@ -272,7 +286,7 @@
     }
     Changes<T> changes = result.get();
     markReachable();
-    if (changes.revision() < revision) {
+    if (revision.isAfter(changes.revision()) || changes.revision().era() != revision.era()) {
       relist = true;
       return true;
     }
--- a/steering/src/main/java/verbenahatch/steering/feed/PeerFeeds.java
+++ b/steering/src/main/java/verbenahatch/steering/feed/PeerFeeds.java
@@ -13,6 +13,7 @@
 import verbenahatch.peer.generated.FeedObject;
 import verbenahatch.steering.model.Feed.Changes;
 import verbenahatch.steering.model.Feed.FeedError;
+import verbenahatch.steering.model.StoreRevision;
 
 /**
  * Reads feeds from other hosts.
@@ -83,8 +84,19 @@
    * @return the changes, possibly none, or the reason why they could not be read
    */
   <T> Result<Changes<T>, FeedError> watch(
-      String peer, String kind, FeedMessages<T> messages, long revision, Duration maxWait) {
-    String path = FeedPublisher.path(kind) + "?after=" + revision + "&wait=" + maxWait.toMillis();
+      String peer,
+      String kind,
+      FeedMessages<T> messages,
+      StoreRevision revision,
+      Duration maxWait) {
+    String path =
+        FeedPublisher.path(kind)
+            + "?after="
+            + revision.number()
+            + "&era="
+            + revision.era()
+            + "&wait="
+            + maxWait.toMillis();
     return read(call(peer, path, maxWait.toMillis() + WATCH_TIMEOUT_MARGIN_MILLIS), messages);
   }
 
@@ -120,8 +132,8 @@
           new Changes<>(
               written,
               new HashSet<>(message.getGoneList()),
-              message.getRevision(),
-              message.getNewestChange()));
+              new StoreRevision(message.getEra(), message.getRevision()),
+              new StoreRevision(message.getNewestChangeEra(), message.getNewestChange())));
     } catch (InvalidProtocolBufferException | IllegalArgumentException e) {
       return unavailable("invalid response of a peer: " + e);
     }
--- a/steering/src/main/java/verbenahatch/steering/feed/ReleaseMessages.java
+++ b/steering/src/main/java/verbenahatch/steering/feed/ReleaseMessages.java
@@ -3,6 +3,7 @@
 import verbenahatch.peer.generated.FeedObject;
 import verbenahatch.peer.generated.FeedRelease;
 import verbenahatch.steering.model.ReleaseOrder;
+import verbenahatch.steering.model.StoreRevision;
 
 /** Converts release orders to messages and back. Stateless. */
 public final class ReleaseMessages implements FeedMessages<ReleaseOrder> {
@@ -17,7 +18,8 @@
             .setVersion(order.version())
             .setDurationMillis(order.durationMillis())
             .setState(order.state().name())
-            .setRevision(order.revision())
+            .setRevision(order.revision().number())
+            .setEra(order.revision().era())
             .setCreated(order.created()));
   }
 
@@ -32,7 +34,7 @@
         order.getVersion(),
         order.getDurationMillis(),
         ReleaseOrder.State.valueOf(order.getState()),
-        order.getRevision(),
+        new StoreRevision(order.getEra(), order.getRevision()),
         order.getCreated());
   }
 }
--- a/steering/src/main/java/verbenahatch/steering/feed/SwitchingFeed.java
+++ b/steering/src/main/java/verbenahatch/steering/feed/SwitchingFeed.java
@@ -6,6 +6,7 @@
 import verbenahatch.kernel.Clock;
 import verbenahatch.kernel.Result;
 import verbenahatch.steering.model.Feed;
+import verbenahatch.steering.model.StoreRevision;
 
 /**
  * Reads a feed from the store, or from another host that reads it from the store.
@@ -34,6 +35,7 @@
   private final PeerFeeds peers;
   private final FeedSources sources;
   private final Clock clock;
+  private final StoreEras eras;
   private volatile @Nullable String source;
   private volatile boolean storeFailed;
   private volatile boolean storeRequested;
@@ -50,6 +52,7 @@
     this.peers = context.peers();
     this.sources = context.sources();
     this.clock = context.clock();
+    this.eras = context.eras();
   }
 
   /** Returns whether the last call to the store itself failed; false if there was none. */
@@ -86,7 +89,7 @@
   }
 
   @Override
-  public Result<Changes<T>, FeedError> watch(long revision, Duration maxWait) {
+  public Result<Changes<T>, FeedError> watch(StoreRevision revision, Duration maxWait) {
     String peer = chooseSource();
     Result<Changes<T>, FeedError> result;
     if (peer == null) {
@@ -136,6 +139,10 @@
       relayLost &= !answered;
       return;
     }
+    if (result.isOk()) {
+      // A host behind a relay seldom calls the store and learns of a restore here.
+      eras.observe(result.get().revision().era());
+    }
     if (answered) {
       relayLost = false;
     } else if (!relayLost && !Thread.currentThread().isInterrupted()) {
--- a/steering/src/main/java/verbenahatch/steering/model/Feed.java
+++ b/steering/src/main/java/verbenahatch/steering/model/Feed.java
@@ -25,11 +25,14 @@
   /**
    * Waits for changes; counts as one call to the store, however long it waits.
    *
+   * <p>The result may belong to a later era than the revision; then it is not a change after it,
+   * and the caller must list again.
+   *
    * @param revision the revision after which changes are returned
    * @param maxWait the maximum time to wait
    * @return the changes, possibly none, or why they could not be read
    */
-  Result<Changes<T>, FeedError> watch(long revision, Duration maxWait);
+  Result<Changes<T>, FeedError> watch(StoreRevision revision, Duration maxWait);
 
   /**
    * Holds the objects that were written and the names of those that were removed.
@@ -44,7 +47,11 @@
    * @param newestChange the revision of the newest change among the objects, as far as known; at
    *     most {@code revision}
    */
-  record Changes<T>(Map<String, T> written, Set<String> gone, long revision, long newestChange) {}
+  record Changes<T>(
+      Map<String, T> written,
+      Set<String> gone,
+      StoreRevision revision,
+      StoreRevision newestChange) {}
 
   /** The reason why a feed returned no result. */
   sealed interface FeedError {
--- a/steering/src/main/java/verbenahatch/steering/model/PlatformStore.java
+++ b/steering/src/main/java/verbenahatch/steering/model/PlatformStore.java
@@ -23,6 +23,13 @@
     record Unconfirmed(String reason) implements WriteError {}
   }
 
+  /**
+   * Sets the observer of the era that the store states in each of its responses.
+   *
+   * @param observer called on the thread of each call; set before the first call
+   */
+  void observeEras(EraObserver observer);
+
   /**
    * Returns the operator's document and its changes.
    *
--- a/steering/src/main/java/verbenahatch/steering/model/ReleaseOrder.java
+++ b/steering/src/main/java/verbenahatch/steering/model/ReleaseOrder.java
@@ -8,10 +8,15 @@
  * @param durationMillis the time from the order to its deadline in milliseconds
  * @param state the recorded state
  * @param revision the store-wide version of the object
- * @param created distinguishes two orders for the same service and version
+ * @param created distinguishes two orders of one era for the same service and version
  */
 public record ReleaseOrder(
-    String service, String version, long durationMillis, State state, long revision, long created) {
+    String service,
+    String version,
+    long durationMillis,
+    State state,
+    StoreRevision revision,
+    long created) {
 
   /** The recorded state of a release. */
   public enum State {
--- a/steering/src/main/java/verbenahatch/steering/model/TargetRecord.java
+++ b/steering/src/main/java/verbenahatch/steering/model/TargetRecord.java
@@ -26,4 +26,28 @@
     int slots,
     boolean draining,
     long coldMillis,
-    long startedWallMillis) {}
+    long startedWallMillis) {
+
+  /**
+   * Returns whether another entry describes the same process.
+   *
+   * @param other an entry with the same id
+   * @return true if service, address, port and start are equal
+   */
+  public boolean isSameIncarnation(TargetRecord other) {
+    return startedWallMillis == other.startedWallMillis
+        && service.equals(other.service)
+        && address.equals(other.address)
+        && port == other.port;
+  }
+
+  /**
+   * Returns this entry with the state draining.
+   *
+   * @return a copy of this entry
+   */
+  public TargetRecord asDraining() {
+    return new TargetRecord(
+        id, service, address, port, zone, version, slots, true, coldMillis, startedWallMillis);
+  }
+}
--- a/steering/src/test/java/verbenahatch/steering/FeedLagTest.java
+++ b/steering/src/test/java/verbenahatch/steering/FeedLagTest.java
@@ -9,6 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import verbenahatch.peer.generated.HostBeat;
+import verbenahatch.steering.model.StoreRevision;
 
 /** Guards against a host that stays behind the others after its watch or its relay was lost. */
 class FeedLagTest {
@@ -16,9 +17,12 @@
   private static final long TOLERANCE_MILLIS = 600;
 
   private final AtomicInteger refreshes = new AtomicInteger();
-  private long own = 10;
+  private StoreRevision own = new StoreRevision(0, 10);
   private final FeedLag lag =
-      new FeedLag(HostBeat::getEvacuationsRevision, () -> own, refreshes::incrementAndGet);
+      new FeedLag(
+          beat -> new StoreRevision(beat.getStoreEra(), beat.getEvacuationsRevision()),
+          () -> own,
+          refreshes::incrementAndGet);
 
   private void check(long atMillis, long... revisions) {
     List<HostBeat> heartbeats =
@@ -42,7 +46,7 @@
   @Test
   void catchingUpInTimeEndsTheLag() {
     check(0, 11);
-    own = 11;
+    own = new StoreRevision(0, 11);
     check(500, 11);
     check(600, 12);
     check(1_150, 12);
--- a/steering/src/test/java/verbenahatch/steering/RegistryOutageTest.java
+++ b/steering/src/test/java/verbenahatch/steering/RegistryOutageTest.java
@@ -5,6 +5,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import verbenahatch.steering.model.StoreRevision;
 
 /**
  * Guards against removed targets that a host still uses after a network partition (DRAIN on
@@ -13,6 +14,10 @@
  */
 class RegistryOutageTest {
 
+  private static StoreRevision revision(long number) {
+    return new StoreRevision(0, number);
+  }
+
   @ParameterizedTest
   @CsvSource({
     // Others received a newer revision at 20, while this host was partitioned until 90.
@@ -22,9 +27,9 @@
   })
   void returnsTimeAtWhichAnotherHostReachedTheRegistry(long peerRevision, long expected) {
     RegistryOutage outage = new RegistryOutage();
-    outage.markLost(100);
-    outage.observePeerRevision(peerRevision, 20);
-    outage.observePeerRevision(peerRevision + 5, 90);
+    outage.markLost(revision(100));
+    outage.observePeerRevision(revision(peerRevision), 20);
+    outage.observePeerRevision(revision(peerRevision + 5), 90);
     assertEquals(expected, outage.markReachable(90));
   }
 
@@ -35,20 +40,20 @@
   @Test
   void ignoresRevisionThatPeersHadBeforeTheLoss() {
     RegistryOutage outage = new RegistryOutage();
-    outage.observePeerRevision(120, 5);
-    outage.markLost(120);
-    outage.observePeerRevision(120, 30);
+    outage.observePeerRevision(revision(120), 5);
+    outage.markLost(revision(120));
+    outage.observePeerRevision(revision(120), 30);
     assertEquals(90, outage.markReachable(90));
   }
 
   @Test
   void eachOutageIsIndependent() {
     RegistryOutage outage = new RegistryOutage();
-    outage.markLost(100);
-    outage.observePeerRevision(101, 20);
+    outage.markLost(revision(100));
+    outage.observePeerRevision(revision(101), 20);
     assertEquals(20, outage.markReachable(30));
     assertEquals(40, outage.markReachable(40));
-    outage.markLost(101);
+    outage.markLost(revision(101));
     assertEquals(60, outage.markReachable(60));
   }
 }
--- a/steering/src/test/java/verbenahatch/steering/ReleaseTableTest.java
+++ b/steering/src/test/java/verbenahatch/steering/ReleaseTableTest.java
@@ -13,6 +13,7 @@
 import verbenahatch.kernel.Events;
 import verbenahatch.kernel.ManualClock;
 import verbenahatch.kernel.Result;
+import verbenahatch.steering.model.EraObserver;
 import verbenahatch.steering.model.Feed;
 import verbenahatch.steering.model.HostRecord;
 import verbenahatch.steering.model.PlatformStore;
@@ -20,6 +21,7 @@
 import verbenahatch.steering.model.ReleaseOrder.State;
 import verbenahatch.steering.model.SteeringDocument;
 import verbenahatch.steering.model.SteeringSettings;
+import verbenahatch.steering.model.StoreRevision;
 import verbenahatch.steering.model.TargetRecord;
 
 /** Guards against exposure to bad versions and against good releases that do not complete. */
@@ -33,11 +35,21 @@
   private final ReleaseTable table =
       new ReleaseTable(clock, Events.none(), hosts, settings.bounds());
   private final RecordingStore store = new RecordingStore();
-  private ReleaseOrder order = new ReleaseOrder("catalogue", "v2", 12_000, State.ORDERED, 1, 1);
+  private ReleaseOrder order =
+      new ReleaseOrder("catalogue", "v2", 12_000, State.ORDERED, revision(1), 1);
+
+  private static StoreRevision revision(long number) {
+    return new StoreRevision(0, number);
+  }
 
   private final class RecordingStore implements PlatformStore {
     final List<State> states = new ArrayList<>();
 
+    @Override
+    public void observeEras(EraObserver observer) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public Feed<SteeringDocument> documents() {
       throw new UnsupportedOperationException();
@@ -82,7 +94,7 @@
               read.version(),
               read.durationMillis(),
               state,
-              read.revision() + 1,
+              new StoreRevision(read.revision().era(), read.revision().number() + 1),
               read.created());
       table.put(order);
       return Result.ok(true);
@@ -147,7 +159,7 @@
   /** An older state, which a lagging read may return, must not replace a newer one. */
   @Test
   void olderStateIsIgnored() {
-    table.put(new ReleaseOrder("catalogue", "v2", 12_000, State.ROLLED_BACK, 9, 1));
+    table.put(new ReleaseOrder("catalogue", "v2", 12_000, State.ROLLED_BACK, revision(9), 1));
     table.put(order);
     assertFalse(table.nextVersionRule("catalogue").allows("v2"));
   }
--- a/steering/src/test/java/verbenahatch/steering/feed/FeedLogTest.java
+++ b/steering/src/test/java/verbenahatch/steering/feed/FeedLogTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertNotNull;
 import static org.junit.jupiter.api.Assertions.assertNull;
+import static verbenahatch.steering.feed.FeedSamples.revision;
 
 import java.util.HashMap;
 import java.util.HashSet;
@@ -24,11 +25,11 @@
     for (String name : names) {
       objects.put(name, name + revision);
     }
-    return new Changes<>(objects, Set.of(), revision, revision);
+    return new Changes<>(objects, Set.of(), revision(revision), revision(revision));
   }
 
   private static Changes<String> gone(long revision, String... names) {
-    return new Changes<>(Map.of(), Set.of(names), revision, revision);
+    return new Changes<>(Map.of(), Set.of(names), revision(revision), revision(revision));
   }
 
   private Map<String, String> currentObjects() {
@@ -39,7 +40,7 @@
   @Test
   void holdsNothingBeforeTheFirstList() {
     assertNull(log.all());
-    assertNull(log.since(0));
+    assertNull(log.since(revision(0)));
   }
 
   @Test
@@ -47,20 +48,22 @@
     log.apply(written(5, "a", "b"), true);
     log.apply(written(6, "c"), false);
     log.apply(gone(8, "a", "c"), false);
-    Changes<String> changes = log.since(5);
+    Changes<String> changes = log.since(revision(5));
     assertNotNull(changes);
     assertEquals(Map.of(), changes.written());
     assertEquals(Set.of("a", "c"), changes.gone());
-    assertEquals(8, changes.revision());
-    assertEquals(new Changes<>(Map.of(), Set.of(), 8, 8), log.since(8));
+    assertEquals(revision(8), changes.revision());
+    assertEquals(
+        new Changes<>(Map.of(), Set.of(), revision(8), revision(8)), log.since(revision(8)));
   }
 
   /** Followers must also receive removals that happened in a gap, which only a list shows. */
   @Test
   void listIsRecordedAsDifference() {
     log.apply(written(5, "a", "b"), true);
-    log.apply(new Changes<>(Map.of("b", "b5", "c", "c9"), Set.of(), 9, 9), true);
-    Changes<String> changes = log.since(5);
+    log.apply(
+        new Changes<>(Map.of("b", "b5", "c", "c9"), Set.of(), revision(9), revision(9)), true);
+    Changes<String> changes = log.since(revision(5));
     assertNotNull(changes);
     assertEquals(Map.of("c", "c9"), changes.written());
     assertEquals(Set.of("a"), changes.gone());
@@ -69,12 +72,12 @@
   @Test
   void oldRevisionsAreNoLongerKept() {
     log.apply(written(5, "a"), true);
-    assertNull(log.since(4));
+    assertNull(log.since(revision(4)));
     for (int i = 6; i < 200; i++) {
       log.apply(written(i, "a"), false);
     }
-    assertNull(log.since(6));
-    assertNotNull(log.since(198));
+    assertNull(log.since(revision(6)));
+    assertNotNull(log.since(revision(198)));
   }
 
   /** A follower that applies the returned changes holds the same objects, whatever it missed. */
@@ -91,20 +94,22 @@
       if (list) {
         Map<String, String> objects = new HashMap<>(currentObjects());
         objects.remove(name);
-        log.apply(new Changes<>(objects, Set.of(), revision, revision), true);
+        log.apply(new Changes<>(objects, Set.of(), revision(revision), revision(revision)), true);
       } else {
         boolean isRemoval = random.nextInt(3) == 0;
         log.apply(isRemoval ? gone(revision, name) : written(revision, name), false);
       }
       if (random.nextInt(3) == 0) {
-        Changes<String> changes = followerRevision < 0 ? null : log.since(followerRevision);
+        Changes<String> changes =
+            followerRevision < 0 ? null : log.since(revision(followerRevision));
         if (changes == null) {
-          changes = new Changes<>(currentObjects(), Set.of(), revision, revision);
+          changes =
+              new Changes<>(currentObjects(), Set.of(), revision(revision), revision(revision));
           followerObjects.clear();
         }
         followerObjects.putAll(changes.written());
         followerObjects.keySet().removeAll(new HashSet<>(changes.gone()));
-        followerRevision = changes.revision();
+        followerRevision = changes.revision().number();
         assertEquals(currentObjects(), followerObjects);
       }
     }
--- a/steering/src/test/java/verbenahatch/steering/feed/FeedMessagesTest.java
+++ b/steering/src/test/java/verbenahatch/steering/feed/FeedMessagesTest.java
@@ -20,6 +20,7 @@
 import verbenahatch.steering.model.SteeringDocument.SteeringRoute;
 import verbenahatch.steering.model.SteeringDocument.SteeringService;
 import verbenahatch.steering.model.SteeringDocument.SteeringWorkspace;
+import verbenahatch.steering.model.StoreRevision;
 import verbenahatch.steering.model.TargetRecord;
 
 /** Guards against fields that are lost between two hosts. */
@@ -56,7 +57,8 @@
                 "x", "s", "10.0.0.1", 80, "z", "v2", 3, true, 250, 1_700_000_000_000L)),
         Arguments.of(
             new ReleaseMessages(),
-            new ReleaseOrder("x", "v2", 14_000, ReleaseOrder.State.ROLLED_BACK, 9, 4)),
+            new ReleaseOrder(
+                "x", "v2", 14_000, ReleaseOrder.State.ROLLED_BACK, new StoreRevision(2, 9), 4)),
         Arguments.of(new ZoneMessages(), "x"),
         Arguments.of(
             new HostMessages(), new HostRecord("x", "i", "z", "r", "10.0.0.1:80", "10.0.0.1:81")));
--- a/steering/src/test/java/verbenahatch/steering/feed/FollowerTest.java
+++ b/steering/src/test/java/verbenahatch/steering/feed/FollowerTest.java
@@ -17,6 +17,7 @@
 import verbenahatch.steering.model.Feed;
 import verbenahatch.steering.model.Feed.Changes;
 import verbenahatch.steering.model.Feed.FeedError;
+import verbenahatch.steering.model.StoreRevision;
 
 /** Guards against changes that are missed or undone at gaps in a feed. */
 class FollowerTest {
@@ -36,7 +37,7 @@
     }
 
     @Override
-    public Result<Changes<String>, FeedError> watch(long revision, Duration maxWait) {
+    public Result<Changes<String>, FeedError> watch(StoreRevision revision, Duration maxWait) {
       return next(watches);
     }
 
@@ -52,6 +53,11 @@
   }
 
   private static Result<Changes<String>, FeedError> changes(long revision, String... names) {
+    return changes(FeedSamples.revision(revision), names);
+  }
+
+  private static Result<Changes<String>, FeedError> changes(
+      StoreRevision revision, String... names) {
     Map<String, String> written = new java.util.TreeMap<>();
     for (String name : names) {
       written.put(name, name);
--- a/steering/src/test/java/verbenahatch/steering/feed/PeerFeedsTest.java
+++ b/steering/src/test/java/verbenahatch/steering/feed/PeerFeedsTest.java
@@ -3,6 +3,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertInstanceOf;
 import static org.junit.jupiter.api.Assertions.assertTrue;
+import static verbenahatch.steering.feed.FeedSamples.revision;
 
 import java.time.Duration;
 import java.util.ArrayList;
@@ -27,6 +28,7 @@
 import verbenahatch.steering.model.Feed;
 import verbenahatch.steering.model.Feed.Changes;
 import verbenahatch.steering.model.Feed.FeedError;
+import verbenahatch.steering.model.StoreRevision;
 
 /** Guards against hosts that miss changes, or apply stale ones, when they follow another host. */
 class PeerFeedsTest {
@@ -54,7 +56,7 @@
     }
 
     @Override
-    public Result<Changes<String>, FeedError> watch(long revision, Duration maxWait) {
+    public Result<Changes<String>, FeedError> watch(StoreRevision revision, Duration maxWait) {
       return next("watch");
     }
 
@@ -70,7 +72,8 @@
   }
 
   private static Result<Changes<String>, FeedError> written(long revision, String zone) {
-    return Result.ok(new Changes<>(Map.of(zone, zone), Set.of(), revision, revision));
+    return Result.ok(
+        new Changes<>(Map.of(zone, zone), Set.of(), revision(revision), revision(revision)));
   }
 
   private Follower<String> follower(Feed<String> source, FeedSources sources) {
@@ -134,9 +137,10 @@
     nextApplied();
     assertEquals(Set.of("a"), list(false).get().written().keySet());
     store.add(written(7, "b"));
-    Changes<String> changes = peers.watch(address, "zones", new ZoneMessages(), 5, MAX_WAIT).get();
+    Changes<String> changes =
+        peers.watch(address, "zones", new ZoneMessages(), revision(5), MAX_WAIT).get();
     assertEquals(Set.of("b"), changes.written().keySet());
-    assertEquals(7, changes.revision());
+    assertEquals(revision(7), changes.revision());
   }
 
   @Test
@@ -145,7 +149,7 @@
     nextApplied();
     assertInstanceOf(
         FeedError.HistoryGone.class,
-        peers.watch(address, "zones", new ZoneMessages(), 3, MAX_WAIT).error());
+        peers.watch(address, "zones", new ZoneMessages(), revision(3), MAX_WAIT).error());
   }
 
   /**
@@ -159,7 +163,7 @@
     store.add(Result.err(new FeedError.Unavailable("down")));
     assertInstanceOf(
         FeedError.Unavailable.class,
-        peers.watch(address, "zones", new ZoneMessages(), 5, MAX_WAIT).error());
+        peers.watch(address, "zones", new ZoneMessages(), revision(5), MAX_WAIT).error());
     assertInstanceOf(FeedError.Unavailable.class, list(false).error());
   }
 
@@ -184,7 +188,7 @@
     store.add(written(8, "b"));
     assertEquals(Set.of("b"), nextApplied().written().keySet());
     assertEquals(Set.of("b"), nextApplied().written().keySet());
-    assertEquals(8, follower.newestChange());
+    assertEquals(revision(8), follower.newestChange());
     assertTrue(!follower.storeFailed() && !follower.readsStore());
     follower.close();
   }
@@ -209,7 +213,7 @@
     }
 
     @Override
-    public Result<Changes<String>, FeedError> watch(long revision, Duration maxWait) {
+    public Result<Changes<String>, FeedError> watch(StoreRevision revision, Duration maxWait) {
       return list();
     }
   }
