--- a/steering/src/test/java/verbenahatch/steering/FeedLagTest.java
+++ b/steering/src/test/java/verbenahatch/steering/FeedLagTest.java
@@ -42,6 +42,16 @@
     assertEquals(expected, refreshes.get());
   }
 
+  /** A reissued revision that is lower than the own one looked old. */
+  @ParameterizedTest
+  @CsvSource({"1, 3, 1", "0, 3, 0"})
+  void laterEraIsNewerWhateverItsRevision(long era, long revision, int expected) {
+    HostBeat beat = HostBeat.newBuilder().setStoreEra(era).setEvacuationsRevision(revision).build();
+    lag.check(List.of(beat), TOLERANCE_MILLIS, 0);
+    lag.check(List.of(beat), TOLERANCE_MILLIS, TimeUnit.MILLISECONDS.toNanos(700));
+    assertEquals(expected, refreshes.get());
+  }
+
   /** A change that arrives within the usual time needs no call to the store. */
   @Test
   void catchingUpInTimeEndsTheLag() {
--- a/steering/src/test/java/verbenahatch/steering/ReleaseTableTest.java
+++ b/steering/src/test/java/verbenahatch/steering/ReleaseTableTest.java
@@ -9,10 +9,12 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import verbenahatch.kernel.Events;
 import verbenahatch.kernel.ManualClock;
 import verbenahatch.kernel.Result;
+import verbenahatch.peer.generated.HostBeat;
 import verbenahatch.steering.model.EraObserver;
 import verbenahatch.steering.model.Feed;
 import verbenahatch.steering.model.HostRecord;
@@ -163,4 +165,65 @@
     table.put(order);
     assertFalse(table.nextVersionRule("catalogue").allows("v2"));
   }
+
+  private ReleaseOrder restored(String version, State state, long number, long created) {
+    return new ReleaseOrder(
+        "catalogue", version, 12_000, state, new StoreRevision(1, number), created);
+  }
+
+  /**
+   * A backup from before a state was recorded began a rolled-back or completed release anew; the
+   * state in force is kept, and written again on the basis of the reissued revision.
+   */
+  @ParameterizedTest
+  @CsvSource({"RUNNING, ORDERED", "COMPLETED, RUNNING", "ROLLED_BACK, ORDERED"})
+  void stateInForceIsWrittenAgainAfterRestore(State inForce, State inBackup) {
+    table.put(new ReleaseOrder("catalogue", "v2", 12_000, inForce, revision(9), 1));
+    table.put(restored("v2", inBackup, 4, 3));
+    table.put(new ReleaseOrder("catalogue", "v2", 12_000, inBackup, revision(10), 1));
+    assertEquals("v2 " + inForce + " share 0.0", table.view().get("catalogue"));
+    table.tick(true, store);
+    assertEquals(List.of(inForce), store.states);
+    assertEquals(new StoreRevision(1, 5), order.revision());
+    table.tick(true, store);
+    assertEquals(1, store.states.size());
+  }
+
+  /** A leader that started after the restore does not know the state, but other hosts do. */
+  @Test
+  void anyHostWritesStateAgainIfTheLeaderDoesNot() {
+    hosts.receive(
+        HostBeat.newBuilder()
+            .setHost("a")
+            .setIncarnation("a")
+            .setRegion("a")
+            .setReady(true)
+            .setStoreReachable(true)
+            .build());
+    table.put(new ReleaseOrder("catalogue", "v2", 12_000, State.COMPLETED, revision(9), 1));
+    table.put(restored("v2", State.ORDERED, 4, 1));
+    table.tick(true, store);
+    assertEquals(List.of(), store.states);
+    clock.advance(Duration.ofMillis(2_000));
+    hosts.receive(
+        HostBeat.newBuilder()
+            .setHost("a")
+            .setIncarnation("a")
+            .setSequence(2)
+            .setRegion("a")
+            .setReady(true)
+            .setStoreReachable(true)
+            .build());
+    table.tick(true, store);
+    assertEquals(List.of(State.COMPLETED), store.states);
+  }
+
+  /** An order for another version may come from the backup, or be newer than the one in force. */
+  @ParameterizedTest
+  @CsvSource({"v2, 4, true", "v1, 9, false", "v3, 10, true"})
+  void orderOfBackupDoesNotReplaceNewerOne(String version, long number, boolean expected) {
+    ReleaseOrder held = new ReleaseOrder("catalogue", "v2", 12_000, State.RUNNING, revision(9), 1);
+    assertEquals(
+        expected, ReleaseTable.replaces(restored(version, State.ORDERED, number, 1), held));
+  }
 }
--- a/steering/src/test/java/verbenahatch/steering/TargetTableTest.java
+++ b/steering/src/test/java/verbenahatch/steering/TargetTableTest.java
@@ -38,6 +38,45 @@
     assertFalse(only().acceptsRequests());
   }
 
+  /**
+   * A backup from before a drain showed the target as ready, although it is about to stop; also one
+   * whose entry was removed since.
+   */
+  @ParameterizedTest
+  @ValueSource(booleans = {true, false})
+  void drainedTargetStaysDrainingAfterRestore(boolean removedSince) {
+    table.replace(Map.of("one", one));
+    table.applyChanges(List.of(Samples.draining(one)), Set.of());
+    if (removedSince) {
+      table.applyChanges(List.of(), Set.of("one"));
+    }
+    table.storeRestored();
+    table.replace(Map.of("one", one));
+    assertFalse(only().acceptsRequests());
+    clock.advance(Duration.ofMillis(RestoreHold.HOLD_MILLIS - 1));
+    table.expire();
+    assertFalse(only().acceptsRequests());
+    clock.advance(Duration.ofMillis(1));
+    table.expire();
+    assertTrue(only().acceptsRequests());
+  }
+
+  /**
+   * Another incarnation is another process, and an entry shown as draining again is no longer held.
+   */
+  @Test
+  void holdOfDrainEndsWithItsIncarnationAndItsConfirmation() {
+    table.replace(Map.of("one", Samples.draining(one)));
+    table.storeRestored();
+    table.replace(Map.of("one", Samples.restarted(one, 0)));
+    assertTrue(only().acceptsRequests());
+    table.applyChanges(List.of(Samples.draining(one)), Set.of());
+    table.storeRestored();
+    table.replace(Map.of("one", Samples.draining(one)));
+    table.applyChanges(List.of(one), Set.of());
+    assertTrue(only().acceptsRequests());
+  }
+
   @Test
   void removedTargetAcceptsNoRequestsThroughHeldReference() {
     table.replace(Map.of("one", one));
--- a/steering/src/test/java/verbenahatch/steering/feed/FeedLogTest.java
+++ b/steering/src/test/java/verbenahatch/steering/feed/FeedLogTest.java
@@ -14,6 +14,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
 import verbenahatch.steering.model.Feed.Changes;
+import verbenahatch.steering.model.StoreRevision;
 
 /** Guards against changes that a host publishes wrongly or not at all. */
 class FeedLogTest {
@@ -80,6 +81,19 @@
     assertNotNull(log.since(revision(198)));
   }
 
+  /** A host that has read in another era than the publisher must list again. */
+  @Test
+  void changesOfAnotherEraAreNotKept() {
+    log.apply(written(5, "a"), true);
+    log.apply(written(9, "a"), false);
+    StoreRevision restored = new StoreRevision(1, 7);
+    log.apply(new Changes<>(Map.of("b", "b"), Set.of(), restored, restored), true);
+    assertNull(log.since(revision(9)));
+    assertNull(log.since(new StoreRevision(2, 7)));
+    assertEquals(new Changes<>(Map.of(), Set.of(), restored, restored), log.since(restored));
+    assertEquals(Map.of("b", "b"), currentObjects());
+  }
+
   /** A follower that applies the returned changes holds the same objects, whatever it missed. */
   @ParameterizedTest
   @ValueSource(longs = {1, 2, 3, 4, 5, 6, 7, 8})
--- a/steering/src/test/java/verbenahatch/steering/feed/FollowerTest.java
+++ b/steering/src/test/java/verbenahatch/steering/feed/FollowerTest.java
@@ -100,6 +100,24 @@
     assertEquals(List.of("all {a=a}", "{b=b}", "all {a=a, b=b}"), applied);
   }
 
+  /**
+   * A restored store issues revisions again; its list, however low its revision, is newer, and a
+   * response that was sent before the restore is older.
+   */
+  @Test
+  void newEraIsListedFromScratch() throws InterruptedException {
+    lists.add(changes(new StoreRevision(3, 50), "a"));
+    watches.add(changes(new StoreRevision(4, 60), "reissued"));
+    lists.add(changes(new StoreRevision(3, 70), "old"));
+    watches.add(changes(new StoreRevision(4, 80), "reissued"));
+    lists.add(changes(new StoreRevision(4, 20), "b"));
+    watches.add(changes(new StoreRevision(3, 80), "late"));
+    lists.add(changes(new StoreRevision(3, 90), "late"));
+    lists.add(changes(new StoreRevision(4, 21), "c"));
+    runScript();
+    assertEquals(List.of("all {a=a}", "all {old=old}", "all {b=b}", "all {c=c}"), applied);
+  }
+
   @Test
   void outageIsReportedOnceAndItsEndToo() throws InterruptedException {
     lists.add(changes(5, "a"));
