--- a/steering/src/test/java/verbenahatch/steering/ReleaseTableTest.java
+++ b/steering/src/test/java/verbenahatch/steering/ReleaseTableTest.java
@@ -9,10 +9,13 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import verbenahatch.kernel.Events;
 import verbenahatch.kernel.ManualClock;
 import verbenahatch.kernel.Result;
+import verbenahatch.peer.generated.HostBeat;
+import verbenahatch.steering.model.EraObserver;
 import verbenahatch.steering.model.Feed;
 import verbenahatch.steering.model.HostRecord;
 import verbenahatch.steering.model.PlatformStore;
@@ -20,6 +23,7 @@
 import verbenahatch.steering.model.ReleaseOrder.State;
 import verbenahatch.steering.model.SteeringDocument;
 import verbenahatch.steering.model.SteeringSettings;
+import verbenahatch.steering.model.StoreRevision;
 import verbenahatch.steering.model.TargetRecord;
 
 /** Guards against exposure to bad versions and against good releases that do not complete. */
@@ -33,11 +37,21 @@
   private final ReleaseTable table =
       new ReleaseTable(clock, Events.none(), hosts, settings.bounds());
   private final RecordingStore store = new RecordingStore();
-  private ReleaseOrder order = new ReleaseOrder("catalogue", "v2", 12_000, State.ORDERED, 1, 1);
+  private ReleaseOrder order =
+      new ReleaseOrder("catalogue", "v2", 12_000, State.ORDERED, revision(1), 1);
+
+  private static StoreRevision revision(long number) {
+    return new StoreRevision(0, number);
+  }
 
   private final class RecordingStore implements PlatformStore {
     final List<State> states = new ArrayList<>();
 
+    @Override
+    public void observeEras(EraObserver observer) {
+      throw new UnsupportedOperationException();
+    }
+
     @Override
     public Feed<SteeringDocument> documents() {
       throw new UnsupportedOperationException();
@@ -82,7 +96,7 @@
               read.version(),
               read.durationMillis(),
               state,
-              read.revision() + 1,
+              new StoreRevision(read.revision().era(), read.revision().number() + 1),
               read.created());
       table.put(order);
       return Result.ok(true);
@@ -147,8 +161,69 @@
   /** An older state, which a lagging read may return, must not replace a newer one. */
   @Test
   void olderStateIsIgnored() {
-    table.put(new ReleaseOrder("catalogue", "v2", 12_000, State.ROLLED_BACK, 9, 1));
+    table.put(new ReleaseOrder("catalogue", "v2", 12_000, State.ROLLED_BACK, revision(9), 1));
     table.put(order);
     assertFalse(table.nextVersionRule("catalogue").allows("v2"));
   }
+
+  private ReleaseOrder restored(String version, State state, long number, long created) {
+    return new ReleaseOrder(
+        "catalogue", version, 12_000, state, new StoreRevision(1, number), created);
+  }
+
+  /**
+   * A backup from before a state was recorded began a rolled-back or completed release anew; the
+   * state in force is kept, and written again on the basis of the reissued revision.
+   */
+  @ParameterizedTest
+  @CsvSource({"RUNNING, ORDERED", "COMPLETED, RUNNING", "ROLLED_BACK, ORDERED"})
+  void stateInForceIsWrittenAgainAfterRestore(State inForce, State inBackup) {
+    table.put(new ReleaseOrder("catalogue", "v2", 12_000, inForce, revision(9), 1));
+    table.put(restored("v2", inBackup, 4, 3));
+    table.put(new ReleaseOrder("catalogue", "v2", 12_000, inBackup, revision(10), 1));
+    assertEquals("v2 " + inForce + " share 0.0", table.view().get("catalogue"));
+    table.tick(true, store);
+    assertEquals(List.of(inForce), store.states);
+    assertEquals(new StoreRevision(1, 5), order.revision());
+    table.tick(true, store);
+    assertEquals(1, store.states.size());
+  }
+
+  /** A leader that started after the restore does not know the state, but other hosts do. */
+  @Test
+  void anyHostWritesStateAgainIfTheLeaderDoesNot() {
+    hosts.receive(
+        HostBeat.newBuilder()
+            .setHost("a")
+            .setIncarnation("a")
+            .setRegion("a")
+            .setReady(true)
+            .setStoreReachable(true)
+            .build());
+    table.put(new ReleaseOrder("catalogue", "v2", 12_000, State.COMPLETED, revision(9), 1));
+    table.put(restored("v2", State.ORDERED, 4, 1));
+    table.tick(true, store);
+    assertEquals(List.of(), store.states);
+    clock.advance(Duration.ofMillis(2_000));
+    hosts.receive(
+        HostBeat.newBuilder()
+            .setHost("a")
+            .setIncarnation("a")
+            .setSequence(2)
+            .setRegion("a")
+            .setReady(true)
+            .setStoreReachable(true)
+            .build());
+    table.tick(true, store);
+    assertEquals(List.of(State.COMPLETED), store.states);
+  }
+
+  /** An order for another version may come from the backup, or be newer than the one in force. */
+  @ParameterizedTest
+  @CsvSource({"v2, 4, true", "v1, 9, false", "v3, 10, true"})
+  void orderOfBackupDoesNotReplaceNewerOne(String version, long number, boolean expected) {
+    ReleaseOrder held = new ReleaseOrder("catalogue", "v2", 12_000, State.RUNNING, revision(9), 1);
+    assertEquals(
+        expected, ReleaseTable.replaces(restored(version, State.ORDERED, number, 1), held));
+  }
 }
--- a/steering/src/test/java/verbenahatch/steering/feed/FollowerTest.java
+++ b/steering/src/test/java/verbenahatch/steering/feed/FollowerTest.java
@@ -17,6 +17,7 @@
 import verbenahatch.steering.model.Feed;
 import verbenahatch.steering.model.Feed.Changes;
 import verbenahatch.steering.model.Feed.FeedError;
+import verbenahatch.steering.model.StoreRevision;
 
 /** Guards against changes that are missed or undone at gaps in a feed. */
 class FollowerTest {
@@ -36,7 +37,7 @@
     }
 
     @Override
-    public Result<Changes<String>, FeedError> watch(long revision, Duration maxWait) {
+    public Result<Changes<String>, FeedError> watch(StoreRevision revision, Duration maxWait) {
       return next(watches);
     }
 
@@ -52,6 +53,11 @@
   }
 
   private static Result<Changes<String>, FeedError> changes(long revision, String... names) {
+    return changes(FeedSamples.revision(revision), names);
+  }
+
+  private static Result<Changes<String>, FeedError> changes(
+      StoreRevision revision, String... names) {
     Map<String, String> written = new java.util.TreeMap<>();
     for (String name : names) {
       written.put(name, name);
@@ -94,6 +100,24 @@
     assertEquals(List.of("all {a=a}", "{b=b}", "all {a=a, b=b}"), applied);
   }
 
+  /**
+   * A restored store issues revisions again; its list, however low its revision, is newer, and a
+   * response that was sent before the restore is older.
+   */
+  @Test
+  void newEraIsListedFromScratch() throws InterruptedException {
+    lists.add(changes(new StoreRevision(3, 50), "a"));
+    watches.add(changes(new StoreRevision(4, 60), "reissued"));
+    lists.add(changes(new StoreRevision(3, 70), "old"));
+    watches.add(changes(new StoreRevision(4, 80), "reissued"));
+    lists.add(changes(new StoreRevision(4, 20), "b"));
+    watches.add(changes(new StoreRevision(3, 80), "late"));
+    lists.add(changes(new StoreRevision(3, 90), "late"));
+    lists.add(changes(new StoreRevision(4, 21), "c"));
+    runScript();
+    assertEquals(List.of("all {a=a}", "all {old=old}", "all {b=b}", "all {c=c}"), applied);
+  }
+
   @Test
   void outageIsReportedOnceAndItsEndToo() throws InterruptedException {
     lists.add(changes(5, "a"));
