--- a/standins/src/main/java/verbenahatch/standins/target/FaultRule.java
+++ b/standins/src/main/java/verbenahatch/standins/target/FaultRule.java
@@ -35,6 +35,13 @@
     /** Never responds on this connection again; new connections work. */
     SILENT,
     /** Runs the request and closes the connection without a response. */
-    LOST
+    LOST,
+    /** Responds with a status that no response may have, and closes the connection. */
+    INVALID_STATUS,
+    /**
+     * Responds before the body is read with a part of a response without a length, and resets the
+     * connection.
+     */
+    EARLY_RESET
   }
 }
--- a/standins/src/main/java/verbenahatch/standins/target/RequestExecution.java
+++ b/standins/src/main/java/verbenahatch/standins/target/RequestExecution.java
@@ -19,6 +19,7 @@
 import org.eclipse.jetty.util.Callback;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.http.CallerWatch;
+import verbenahatch.http.ResetOnClose;
 import verbenahatch.kernel.Json;
 
 /** Executes one request at a target, from arrival to the response. */
@@ -30,6 +31,11 @@
   /** Attribute of the connections on which a fault has suppressed all further responses. */
   private static final String SILENT_ATTRIBUTE = "verbenahatch.silent";
 
+  private static final List<String> INVALID_STATUSES = List.of("000", "099", "600", "999");
+
+  /** Time in which the caller reads a part of a response; a reset discards what is not read. */
+  private static final long RESET_DELAY_MILLIS = 50;
+
   private static volatile String earlierRequestId = "earlier-request";
 
   private final TargetServer target;
@@ -100,7 +106,12 @@
             request.getMethod(),
             path,
             System.currentTimeMillis());
-    fault = chooseFault(path);
+    FaultRule rule = chooseFault(path);
+    fault = rule;
+    if (rule != null && rule.kind() == FaultRule.Kind.EARLY_RESET) {
+      respondEarly();
+      return;
+    }
     readBody();
   }
 
@@ -219,6 +230,12 @@
       earlierRequestId = header("Request-Id");
     }
     byte[] body = body();
+    if (kind == FaultRule.Kind.INVALID_STATUS) {
+      int index = ThreadLocalRandom.current().nextInt(INVALID_STATUSES.size());
+      String length = "Content-Length: " + body.length + "\r\n";
+      writeRaw(INVALID_STATUSES.get(index), length, ByteBuffer.wrap(body), this::close);
+      return;
+    }
     int status = kind == FaultRule.Kind.FAIL ? 500 : 200;
     response.setStatus(status);
     response.getHeaders().put(HttpHeader.CONTENT_TYPE, "application/json");
@@ -236,6 +253,25 @@
     }
   }
 
+  /** Writes a part of a response while the caller may be sending, and resets the connection. */
+  private void respondEarly() {
+    if (!finished.compareAndSet(false, true)) {
+      return;
+    }
+    release();
+    byte[] body = body();
+    ByteBuffer part = ByteBuffer.wrap(body, 0, body.length / 2);
+    writeRaw(
+        "200",
+        "",
+        part,
+        () ->
+            target
+                .server()
+                .getScheduler()
+                .schedule(this::reset, RESET_DELAY_MILLIS, TimeUnit.MILLISECONDS));
+  }
+
   private byte[] body() {
     record Body(
         String target,
@@ -299,6 +335,39 @@
     }
   }
 
+  /** Writes a response to this request past the library, which checks statuses and lengths. */
+  private void writeRaw(String status, String field, ByteBuffer body, Runnable onWritten) {
+    EndPoint endPoint = endPoint();
+    if (endPoint != null) {
+      String head =
+          "HTTP/1.1 "
+              + status
+              + " X\r\n"
+              + HEADER_PREFIX
+              + "Request-Id: "
+              + header("Request-Id")
+              + "\r\n"
+              + field
+              + "\r\n";
+      ByteBuffer first = ByteBuffer.wrap(head.getBytes(StandardCharsets.US_ASCII));
+      endPoint.write(Callback.from(onWritten), first, body);
+    }
+  }
+
+  private void reset() {
+    EndPoint endPoint = endPoint();
+    if (endPoint != null) {
+      try {
+        ResetOnClose.enable(endPoint);
+      } catch (IOException e) {
+        // The caller has closed the connection.
+        callback.failed(e);
+        return;
+      }
+    }
+    close();
+  }
+
   private void close() {
     EndPoint endPoint = endPoint();
     if (endPoint != null) {
--- a/standins/src/test/java/verbenahatch/standins/target/TargetServerTest.java
+++ b/standins/src/test/java/verbenahatch/standins/target/TargetServerTest.java
@@ -7,6 +7,7 @@
 
 import java.io.IOException;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -19,6 +20,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import verbenahatch.kernel.Json;
 
 /** Guards against a stand-in target whose faults or log, on which other tests rely, are wrong. */
@@ -118,6 +121,39 @@
     assertFalse(crossed.headers().firstValue("Verbenahatch-Request-Id").orElse("").contains("r2"));
   }
 
+  /** Tests of callers rely on bytes that a correct server never sends. */
+  @ParameterizedTest
+  @CsvSource({
+    "INVALID_STATUS, 'HTTP/1.1 (000|099|600|999) X'",
+    "EARLY_RESET, 'HTTP/1.1 200 X'",
+  })
+  void sendsResponseThatIsNone(FaultRule.Kind kind, String statusLine) throws Exception {
+    target.setBehaviour(Behaviour.healthy(0).withFaults(new FaultRule(kind, "/", 1, 0, 0, 0)));
+    boolean early = kind == FaultRule.Kind.EARLY_RESET;
+    StringBuilder received = new StringBuilder();
+    try (Socket socket = new Socket("127.0.0.1", target.port())) {
+      socket.setSoTimeout(5_000);
+      String head = "PUT /a HTTP/1.1\r\nHost: a\r\nVerbenahatch-Request-Id: r7\r\n";
+      String body = "Content-Length: 4\r\n\r\n" + (early ? "x" : "body");
+      socket.getOutputStream().write((head + body).getBytes(StandardCharsets.US_ASCII));
+      for (int next = socket.getInputStream().read();
+          next >= 0;
+          next = socket.getInputStream().read()) {
+        received.append((char) next);
+      }
+      assertFalse(early, "closed in order");
+    } catch (SocketException e) {
+      assertTrue(early, e.toString());
+    }
+    String[] parts = received.toString().split("\r\n\r\n", 2);
+    assertTrue(parts[0].split("\r\n", 2)[0].matches(statusLine), parts[0]);
+    assertTrue(parts[0].contains("Request-Id: r7"), parts[0]);
+    assertEquals(early, !parts[0].contains("Content-Length"), parts[0]);
+    assertEquals(early, !parts[1].endsWith("}"), parts[1]);
+    assertEquals(1, target.log().counts().ran());
+    assertEquals(0, target.slots().inFlight());
+  }
+
   @Test
   void reportsConfiguredLoadAndHealth() throws Exception {
     target.setBehaviour(
