Use the reported speed of target machines, and count warm runs and moved objects

Load reports tell how long work takes on the target's machine at the moment. The estimate of a target uses it while the report is fresh, and measured times are corrected by it, so that a slow moment is not taken for a cold object.

verbenahatch_steering_runs_total counts warm and cold runs by route, verbenahatch_steering_object_moves_total the objects that changed their target.

--- a/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
+++ b/steering/src/main/java/verbenahatch/steering/AttemptRecorder.java
@@ -1,6 +1,8 @@
 package verbenahatch.steering;
 
+import java.util.Locale;
 import org.eclipse.jetty.http.HttpStatus;
+import verbenahatch.steering.ObjectMoves.Move;
 import verbenahatch.steering.TargetAttempt.Completion;
 import verbenahatch.steering.model.WireProtocol.TargetResponse;
 
@@ -27,6 +29,10 @@
     this.targets = targets;
   }
 
+  private static String lowerCase(Move move) {
+    return move.name().toLowerCase(Locale.ROOT);
+  }
+
   /** Counts an attempt in the metrics under the name of its outcome. */
   private void count(String outcome) {
     context.metrics.attempts.labelValues(targets.name, outcome).inc();
@@ -146,9 +152,17 @@
     if (namesObject) {
       target.recentObjects.add(objectHash);
     }
-    double workMillis = Math.max(millis - attempt.choice.waitMillis(), millis * 0.2);
+    // A slow moment of the target's machine tells nothing about the request or its object.
+    double measuredMillis = Math.max(millis - attempt.choice.waitMillis(), millis * 0.2);
+    double workMillis = measuredMillis / target.workTimeFactor(now());
     CacheState cacheState = attempt.choice.cacheState();
     ProcessingTimes times = targets.times(route);
+    if (namesObject) {
+      boolean warm = times.nearestMillis(workMillis) == times.warmMillis();
+      context.metrics.runs.labelValues(targets.name, route, warm ? "warm" : "cold").inc();
+      Move move = targets.objectMoves.record(objectHash, target.keyHash);
+      context.metrics.objectMoves.labelValues(targets.name, lowerCase(move)).inc();
+    }
     // Only a target that is known to have the object is slow if it takes longer than a warm one.
     double expectedMillis =
         cacheState == CacheState.WARM ? times.warmMillis() : times.nearestMillis(workMillis);
--- a/steering/src/main/java/verbenahatch/steering/ServiceTargets.java
+++ b/steering/src/main/java/verbenahatch/steering/ServiceTargets.java
@@ -17,6 +17,7 @@
   /** The times over all routes, for the wait behind requests of any route. */
   private final ProcessingTimes times = new ProcessingTimes();
 
+  final ObjectMoves objectMoves = new ObjectMoves();
   private final Map<String, ProcessingTimes> timesByRoute = new ConcurrentHashMap<>();
 
   /** Measured times after which a route is estimated from its own ones only. */
--- a/steering/src/main/java/verbenahatch/steering/SteeringMetrics.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringMetrics.java
@@ -15,6 +15,8 @@
   final Counter responses;
   final Counter retries;
   final Counter admissions;
+  final Counter runs;
+  final Counter objectMoves;
   final Histogram requestSeconds;
 
   /**
@@ -65,6 +67,22 @@
             .help("Requests by the decision about the rate of their workspace.")
             .labelNames("decision")
             .register(registry);
+    runs =
+        Counter.builder()
+            .name("verbenahatch_steering_runs_total")
+            .help(
+                "Successful requests for objects, by route and by whether they took as long as for"
+                    + " an object in the cache of the target or longer.")
+            .labelNames("service", "route", "cache")
+            .register(registry);
+    objectMoves =
+        Counter.builder()
+            .name("verbenahatch_steering_object_moves_total")
+            .help(
+                "Successful requests for objects, by whether the last one of this host for the"
+                    + " object ran at the same target.")
+            .labelNames("service", "move")
+            .register(registry);
     requestSeconds =
         Histogram.builder()
             .name("verbenahatch_steering_request_seconds")
--- a/steering/src/main/java/verbenahatch/steering/Target.java
+++ b/steering/src/main/java/verbenahatch/steering/Target.java
@@ -67,6 +67,7 @@
   private final AtomicInteger consecutiveFailures = new AtomicInteger();
   private volatile double peerLoad;
   private volatile long reportNanos;
+  private volatile double reportedWorkTime = 1;
   private volatile int peerInFlight;
   private volatile double failureRate;
   private volatile long failureNanos;
@@ -215,12 +216,25 @@
     return 1 + (slowness - 1) * weight;
   }
 
+  /**
+   * Returns how long work takes on the target's machine relative to the usual time, as reported.
+   *
+   * <p>Machines change their speed many times per second, so a report counts as long as one of the
+   * load.
+   */
+  double workTimeFactor(long nowNanos) {
+    double weight = decay(nowNanos - reportNanos, REPORT_HALF_LIFE_MILLIS);
+    return 1 + (reportedWorkTime - 1) * weight;
+  }
+
   void recordLoad(@Nullable TargetLoad load, long nowNanos) {
     if (load == null) {
       return;
     }
     double peerLoadNow = Math.max(0, load.running() + load.waiting() - inFlight.get());
     peerLoad = peerLoad + NEWEST_REPORT_WEIGHT * (peerLoadNow - peerLoad);
+    double workTime = load.workTimePercent() / 100.0;
+    reportedWorkTime = Math.max(1 / MAX_SLOWNESS, Math.min(MAX_SLOWNESS, workTime));
     reportNanos = nowNanos;
   }
 
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -371,13 +371,14 @@
     double warmMillis = criteria.times.warmMillis();
     double extraForCold = criteria.times.coldMillis() - warmMillis;
     double work = warmMillis + extraForCold * cacheState.coldFraction();
-    work *= target.slowness(now);
+    double machineFactor = target.workTimeFactor(now);
+    work *= target.slowness(now) * machineFactor;
     if (target.isCold(now)) {
       work *= COLD_TARGET_FACTOR;
     }
     double queued = Math.max(0, load + 1 - slots);
     double queuedWork = criteria.service.times().warmMillis();
-    double wait = queued / slots * queuedWork * target.slowness(now);
+    double wait = queued / slots * queuedWork * target.slowness(now) * machineFactor;
     double utilization = Math.min(1, load / slots);
     double crowding = CROWDING_WEIGHT * warmMillis * Math.pow(utilization, 4);
     double expected = work + wait + crowding + FAILURE_MILLIS * target.failureRate(now);
