--- /dev/null
+++ b/steering/src/test/java/verbenahatch/steering/QuotaChurnTest.java
@@ -0,0 +1,118 @@
+package verbenahatch.steering;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.function.Consumer;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * Guards against refusals of a workspace that is within its rate while hosts restart, come back,
+ * are cut off or are new, and against admissions beyond the limit of the window at the same time.
+ */
+class QuotaChurnTest {
+
+  /** What happens to a fleet that serves a workspace. */
+  enum Scenario {
+    /** No fault: the share refused for random arrivals alone. */
+    STEADY(fleet -> fleet.run(30_000, fleet.demandPerSecond, 0)),
+    /** All hosts restart one after another within 40 s, several at a time in a large fleet. */
+    ROLLING_RESTART(QuotaChurnTest::restartAll),
+    /** The workspace sends a seventh of its rate, then its rate, from hosts of one region. */
+    SURGE(QuotaChurnTest::surge),
+    /** All hosts lose power at once and come back within a second, 2 s later. */
+    POWER_LOSS(QuotaChurnTest::losePower),
+    /** All callers move to the hosts of another region, every 6 s. */
+    MOVING_CALLERS(QuotaChurnTest::moveCallers),
+    /** A third of the hosts of each region is cut off from the others for 15 s. */
+    PARTITION(QuotaChurnTest::cutOffThird),
+    /** A region is cut off from the others for 15 s. */
+    REGION_CUT(QuotaChurnTest::cutOffRegion);
+
+    final Consumer<FleetSimulation> course;
+
+    Scenario(Consumer<FleetSimulation> course) {
+      this.course = course;
+    }
+  }
+
+  private static void restartAll(FleetSimulation fleet) {
+    for (int i = 0; i < fleet.size; i++) {
+      int host = i;
+      fleet.runAfter(40_000L * i / fleet.size, () -> fleet.restart(host, 1_000, 2_000));
+    }
+    fleet.run(45_000, fleet.demandPerSecond, 0);
+  }
+
+  private static void surge(FleetSimulation fleet) {
+    double rate = fleet.demandPerSecond;
+    for (int i = 0; i < 3; i++) {
+      fleet.usedByCallers = host -> true;
+      fleet.run(6_000, rate / 7, 0);
+      String region = FleetSimulation.region(i);
+      fleet.usedByCallers = host -> FleetSimulation.region(host).equals(region);
+      fleet.run(6_000, rate, 0);
+    }
+  }
+
+  private static void losePower(FleetSimulation fleet) {
+    double rate = fleet.demandPerSecond;
+    for (int i = 0; i < fleet.size; i++) {
+      int host = i;
+      fleet.stop(i);
+      fleet.runAfter(2_000 + fleet.random.nextInt(1_000), () -> fleet.start(host));
+    }
+    fleet.run(12_000, rate, 0);
+  }
+
+  private static void moveCallers(FleetSimulation fleet) {
+    for (int i = 1; i <= 5; i++) {
+      String region = FleetSimulation.region(i);
+      fleet.usedByCallers = host -> FleetSimulation.region(host).equals(region);
+      fleet.run(6_000, fleet.demandPerSecond, 0);
+    }
+  }
+
+  private static void cutOffThird(FleetSimulation fleet) {
+    double rate = fleet.demandPerSecond;
+    fleet.partitionBelow = fleet.size / 3;
+    fleet.run(15_000, rate, 0);
+    fleet.partitionBelow = 0;
+    fleet.run(10_000, rate, 0);
+  }
+
+  private static void cutOffRegion(FleetSimulation fleet) {
+    double rate = fleet.demandPerSecond;
+    fleet.cutRegion = "b";
+    fleet.run(15_000, rate, 0);
+    fleet.cutRegion = "";
+    fleet.run(10_000, rate, 0);
+  }
+
+  /** Plays a scenario after the workspace has sent at its rate for a while. */
+  static FleetSimulation play(Scenario scenario, long seed, int size, double rate, double demand) {
+    FleetSimulation fleet = new FleetSimulation(seed, size, rate);
+    fleet.demandPerSecond = rate * demand;
+    fleet.run(6_000, fleet.demandPerSecond, 0);
+    fleet.resetCounts();
+    scenario.course.accept(fleet);
+    return fleet;
+  }
+
+  /** Demand beyond the rate must not exceed the limit of the window while hosts come and go. */
+  @ParameterizedTest
+  @CsvSource({
+    "ROLLING_RESTART, 1, 66, 40",
+    "POWER_LOSS, 1, 66, 200",
+    "POWER_LOSS, 2, 20, 2",
+    "MOVING_CALLERS, 1, 20, 200",
+    "PARTITION, 1, 66, 200",
+    "PARTITION, 2, 20, 40",
+    "REGION_CUT, 1, 20, 200"
+  })
+  void limitHoldsUnderChurn(Scenario scenario, long seed, int size, double rate) {
+    FleetSimulation fleet = play(scenario, seed, size, rate, 4);
+    int most = fleet.maxAdmittedInWindow();
+    assertTrue(most <= fleet.allowedPerWindow(), most + " of " + fleet.allowedPerWindow());
+  }
+}
