Reserve the share of unknown hosts once, and of their own region only

A coordinator multiplied the total of all regions by the fraction of its own region's hosts that it knows and by the fraction of the regions that it hears, and subtracted what a silent region had admitted on top. It now subtracts an even share of each host that it lacks knowledge of, reports that reserve to the other regions, and counts for a silent region the larger of its last report and its even share.

--- a/steering/src/main/java/verbenahatch/steering/HostTable.java
+++ b/steering/src/main/java/verbenahatch/steering/HostTable.java
@@ -195,22 +195,37 @@
    * @param weight maps an uptime in milliseconds to a weight from 0 to 1
    */
   private double fractionOfRegion(LongToDoubleFunction weight) {
-    Set<String> knownHosts = new HashSet<>();
-    knownHosts.add(settings.host());
+    double sum = weight.applyAsDouble(uptimeMillis());
+    for (HostBeat heartbeat : live()) {
+      if (heartbeat.getRegion().equals(settings.region())) {
+        sum += weight.applyAsDouble(heartbeat.getUptimeMillis());
+      }
+    }
+    return sum / hostsOfRegion().size();
+  }
+
+  @Override
+  public double fractionInRegion() {
+    int inRegion = hostsOfRegion().size();
+    return inRegion / (double) Math.max(inRegion, count());
+  }
+
+  /** Returns the names of the hosts of this region that are registered or alive, and this one. */
+  private Set<String> hostsOfRegion() {
+    Set<String> names = new HashSet<>();
+    names.add(settings.host());
     registered.forEach(
         (name, record) -> {
           if (record.region().equals(settings.region())) {
-            knownHosts.add(name);
+            names.add(name);
           }
         });
-    double sum = weight.applyAsDouble(uptimeMillis());
     for (HostBeat heartbeat : live()) {
       if (heartbeat.getRegion().equals(settings.region())) {
-        knownHosts.add(heartbeat.getHost());
-        sum += weight.applyAsDouble(heartbeat.getUptimeMillis());
+        names.add(heartbeat.getHost());
       }
     }
-    return sum / knownHosts.size();
+    return names;
   }
 
   @Override
--- a/steering/src/main/java/verbenahatch/steering/quota/Admission.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/Admission.java
@@ -335,14 +335,16 @@
    */
   public synchronized void allocate(Collection<SteeringWorkspace> workspaces) {
     if (fleet.isSmallFleet()) {
-      localTable.allocate(workspaces, 1);
+      localTable.allocate(workspaces, 0);
       return;
     }
     List<Member> members = fleet.regionMembers();
     coordinators.elect(members);
     double aliveFraction =
         smoothedAliveFraction.update(fleet.aliveFractionOfRegion(), clock.nanoTime());
-    double fraction = Math.min(aliveFraction, fleet.windowCoverageOfRegion());
+    double knownFraction = Math.min(aliveFraction, fleet.windowCoverageOfRegion());
+    // Hosts of other regions are covered by the reports of their coordinators.
+    double reservedFraction = (1 - knownFraction) * fleet.fractionInRegion();
     recordCoordinatorUsages();
     Set<String> ownNames = new HashSet<>();
     List<SteeringWorkspace> ownWorkspaces = new ArrayList<>();
@@ -356,7 +358,7 @@
         }
       }
     }
-    coordinatorTable.allocate(ownWorkspaces, fraction);
+    coordinatorTable.allocate(ownWorkspaces, reservedFraction);
     coordinatedWorkspaces = Set.copyOf(ownNames);
   }
 
@@ -404,12 +406,16 @@
     coordinatorTable.forEachUsage(
         (name, perSecond, admitted) -> {
           if (idle.remove(name)) {
-            groupReport(byGroup, name).addDemands(demand(name, perSecond, admitted));
+            int used = admitted + coordinatorTable.reserved(name);
+            groupReport(byGroup, name).addDemands(demand(name, perSecond, used));
           }
         });
     // Workspaces without demand are reported too, because the coordinators of the other regions
     // would otherwise reserve an even share for this region.
-    idle.forEach(name -> groupReport(byGroup, name).addDemands(demand(name, 0, 0)));
+    idle.forEach(
+        name ->
+            groupReport(byGroup, name)
+                .addDemands(demand(name, 0, coordinatorTable.reserved(name))));
     for (String region : fleet.regions()) {
       if (!region.equals(fleet.region())) {
         sendGroupReports(datagrams, byGroup, fleet.hostsIn(region));
--- a/steering/src/main/java/verbenahatch/steering/quota/AdmittingPeers.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/AdmittingPeers.java
@@ -10,7 +10,8 @@
    * Holds totals over the other peers that admit requests of a workspace.
    *
    * @param demandPerSecond the requests per second that their callers send
-   * @param admitted the requests that they admitted within the quota window, as far as known
+   * @param admitted the requests that they admitted within the quota window, or may have admitted
+   *     without this host's knowledge
    * @param alive the number of these peers that are alive
    * @param count the number of all peers that admit requests, this one included
    * @param propagationMillis the time in milliseconds after which the others know of an admission
@@ -27,6 +28,11 @@
   /** Applies the reports that arrived since the last call. */
   void refresh();
 
-  /** Returns the totals of a workspace. */
-  PeerTotals totals(String workspace);
+  /**
+   * Returns the totals of a workspace.
+   *
+   * @param workspace the name of the workspace
+   * @param limit the requests that all peers together may admit in one window
+   */
+  PeerTotals totals(String workspace, double limit);
 }
--- a/steering/src/main/java/verbenahatch/steering/quota/HeartbeatReports.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/HeartbeatReports.java
@@ -6,6 +6,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
 import verbenahatch.kernel.Clock;
 import verbenahatch.peer.generated.HostBeat;
 import verbenahatch.peer.generated.WorkspaceDemand;
@@ -27,6 +28,8 @@
   private final Map<String, Report> reports = new HashMap<>();
   private final Map<String, Double> demands = new HashMap<>();
   private final Map<String, Double> admitted = new HashMap<>();
+  private @Nullable SmoothedAliveFraction smoothedAliveFraction;
+  private double knownFraction = 1;
   private int alive;
   private int count = 1;
 
@@ -42,6 +45,13 @@
     List<HostBeat> live = fleet.live();
     alive = live.size();
     count = Math.max(fleet.count(), alive + 1);
+    double aliveFraction = (alive + 1.0) / count;
+    if (smoothedAliveFraction == null) {
+      // Admissions before the start of the process are taken into account when it admits.
+      smoothedAliveFraction =
+          new SmoothedAliveFraction(TimeUnit.NANOSECONDS.toMillis(windowNanos), aliveFraction, now);
+    }
+    knownFraction = smoothedAliveFraction.update(aliveFraction, now);
     demands.clear();
     for (HostBeat heartbeat : live) {
       Report previous = reports.get(heartbeat.getIncarnation());
@@ -84,10 +94,10 @@
   }
 
   @Override
-  public synchronized PeerTotals totals(String workspace) {
+  public synchronized PeerTotals totals(String workspace, double limit) {
     return new PeerTotals(
         demands.getOrDefault(workspace, 0.0),
-        admitted.getOrDefault(workspace, 0.0),
+        admitted.getOrDefault(workspace, 0.0) + limit * (1 - knownFraction),
         alive,
         count,
         fleet.propagationMillis());
--- a/steering/src/main/java/verbenahatch/steering/quota/QuotaFleet.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/QuotaFleet.java
@@ -77,6 +77,13 @@
    */
   double aliveFractionOfRegion();
 
+  /**
+   * Returns the fraction of all known hosts that are in this region.
+   *
+   * @return more than 0, at most 1
+   */
+  double fractionInRegion();
+
   /**
    * Returns the fraction of the quota window that the live hosts of this region have run for.
    *
--- a/steering/src/main/java/verbenahatch/steering/quota/QuotaTable.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/QuotaTable.java
@@ -5,7 +5,6 @@
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.LongAdder;
-import org.jspecify.annotations.Nullable;
 import verbenahatch.kernel.Clock;
 import verbenahatch.steering.model.SteeringDocument.SteeringWorkspace;
 import verbenahatch.steering.model.SteeringSettings.Bounds;
@@ -69,18 +68,7 @@
     volatile double demand;
     volatile InheritedUsage inherited = new InheritedUsage(0, 0);
     volatile Allocation allocation = new Allocation(0, 0, 0);
-    private @Nullable SmoothedAliveFraction smoothedAliveFraction;
-
-    /** Returns the fraction of peers whose admissions within the window are known. */
-    double knownFraction(double aliveFraction, long now) {
-      SmoothedAliveFraction smoothed = smoothedAliveFraction;
-      if (smoothed == null) {
-        // Admissions before the start of the process are taken into account when it admits.
-        smoothed = new SmoothedAliveFraction(bounds.quotaWindowMillis(), aliveFraction, now);
-        smoothedAliveFraction = smoothed;
-      }
-      return smoothed.update(aliveFraction, now);
-    }
+    volatile double reserved;
 
     /**
      * Returns the requests within the window that others granted.
@@ -214,9 +202,10 @@
    * Measures demand and allocates the rates anew.
    *
    * @param workspaces the workspaces for which this host admits requests
-   * @param fraction the fraction of the total that the peers may allocate, from 0 to 1
+   * @param reservedFraction the fraction of the total that is reserved for hosts that may admit
+   *     requests, or may have admitted them within the window, without this peer's knowledge
    */
-  synchronized void allocate(Collection<SteeringWorkspace> workspaces, double fraction) {
+  synchronized void allocate(Collection<SteeringWorkspace> workspaces, double reservedFraction) {
     long now = clock.nanoTime();
     double seconds = Math.max(1e-3, (now - lastNanos) / 1e9);
     lastNanos = now;
@@ -229,17 +218,16 @@
       double requested = usage.requested.sumThenReset() / seconds;
       usage.demand +=
           (1 - Math.exp(-seconds / DEMAND_AVERAGING_SECONDS)) * (requested - usage.demand);
-      PeerTotals others = peers.totals(workspace.name());
-      double aliveFraction = others.aliveFraction();
-      double knownFraction = usage.knownFraction(aliveFraction, now);
+      double limit = limitPerWindow(workspace);
+      PeerTotals others = peers.totals(workspace.name(), limit);
       double own = usage.demand;
       int count = Math.max(others.count(), others.alive() + 1);
       double share =
           share(workspace.ratePerSecond(), count, others.alive(), own, others.demandPerSecond());
-      double limit = limitPerWindow(workspace) * fraction;
-      double headroom = limit * knownFraction - others.admitted();
+      usage.reserved = limit * reservedFraction;
+      double headroom = limit - usage.reserved - others.admitted();
       usage.allocation =
-          new Allocation(headroom, share / aliveFraction, others.propagationMillis());
+          new Allocation(headroom, share / others.aliveFraction(), others.propagationMillis());
     }
   }
 
@@ -295,4 +283,10 @@
           }
         });
   }
+
+  /** Returns the requests that are reserved for hosts that this peer does not know enough of. */
+  int reserved(String workspace) {
+    Usage usage = usages.get(workspace);
+    return usage == null ? 0 : (int) Math.ceil(usage.reserved);
+  }
 }
--- a/steering/src/main/java/verbenahatch/steering/quota/RegionReports.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/RegionReports.java
@@ -1,5 +1,6 @@
 package verbenahatch.steering.quota;
 
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -64,32 +65,44 @@
   }
 
   @Override
-  public synchronized PeerTotals totals(String workspace) {
+  public synchronized PeerTotals totals(String workspace, double limit) {
     long now = clock.nanoTime();
+    Collection<Report> reports = byWorkspace.getOrDefault(workspace, Map.of()).values();
     double demand = 0;
-    double admitted = 0;
     int alive = 0;
-    for (Report report : byWorkspace.getOrDefault(workspace, Map.of()).values()) {
+    for (Report report : reports) {
       if (now - report.receivedNanos <= TIMEOUT_NANOS) {
         alive++;
         demand += report.demand.getPerSecond();
       }
     }
-    for (Report report : byWorkspace.getOrDefault(workspace, Map.of()).values()) {
-      double ageMillis = (now - report.receivedNanos) / 1e6;
-      admitted += report.demand.getAdmitted();
-      if (ageMillis > propagationMillis()) {
-        // The region may be on the other side of a network partition and admit all requests of its
-        // callers. Their rate may have grown since its last report, up to the mean rate of the
-        // regions that are alive.
-        double mean = demand / Math.max(1, alive);
-        admitted += Math.max(report.demand.getPerSecond(), mean) * ageMillis / 1_000;
-      }
+    int count = Math.max(fleet.regions().size(), Math.max(alive, reports.size()) + 1);
+    double evenShare = limit / count;
+    double mean = demand / Math.max(1, alive);
+    double admitted = evenShare * (count - 1 - reports.size());
+    for (Report report : reports) {
+      admitted += admittedBy(report, mean, evenShare, now - report.receivedNanos);
     }
-    int count = Math.max(fleet.regions().size(), alive + 1);
     return new PeerTotals(demand, admitted, alive, count, propagationMillis());
   }
 
+  /**
+   * Returns the requests that a region may have admitted within the window.
+   *
+   * <p>A region without recent reports may be on the other side of a network partition. Until it
+   * detects that, it admits all requests of its callers, whose rate may have grown up to the mean
+   * of the live regions; from then on, at most its even share.
+   */
+  private static double admittedBy(Report report, double mean, double evenShare, long ageNanos) {
+    double admitted = report.demand.getAdmitted();
+    if (ageNanos <= TimeUnit.MILLISECONDS.toNanos(propagationMillis())) {
+      return admitted;
+    }
+    double unknownSeconds = Math.min(ageNanos, TIMEOUT_NANOS) / 1e9;
+    admitted += Math.max(report.demand.getPerSecond(), mean) * unknownSeconds;
+    return ageNanos <= TIMEOUT_NANOS ? admitted : Math.max(admitted, evenShare);
+  }
+
   private static long propagationMillis() {
     return 2 * REPORT_INTERVAL_MILLIS + TRANSIT_MILLIS;
   }
--- a/steering/src/test/java/verbenahatch/steering/QuotaChurnTest.java
+++ b/steering/src/test/java/verbenahatch/steering/QuotaChurnTest.java
@@ -115,4 +115,12 @@
     int most = fleet.maxAdmittedInWindow();
     assertTrue(most <= fleet.allowedPerWindow(), most + " of " + fleet.allowedPerWindow());
   }
+
+  /** Guards against reserves and waits that cost a workspace within its rate its requests. */
+  @ParameterizedTest
+  @CsvSource({"REGION_CUT, 20, 0.06", "REGION_CUT, 66, 0.06"})
+  void workspaceWithinItsRateIsServed(Scenario scenario, int size, double maxRefused) {
+    double refused = play(scenario, 1, size, 40, 1).refusedShare();
+    assertTrue(refused <= maxRefused, "refused " + refused);
+  }
 }
