--- a/steering/src/main/java/verbenahatch/steering/feed/FeedPublisher.java
+++ b/steering/src/main/java/verbenahatch/steering/feed/FeedPublisher.java
@@ -128,7 +128,9 @@
       sendAll(feed, Boolean.parseBoolean(query.getValue("lost")), response, callback);
       return;
     }
-    long era = Math.max(0, parseNumber(query, "era"));
+    // A host of an earlier version states no era; it must not list again without a pause.
+    long statedEra = parseNumber(query, "era");
+    long era = statedEra < 0 ? feed.follower.log().revision().era() : statedEra;
     WaitingRequest pending =
         new WaitingRequest(new StoreRevision(era, afterRevision), response, callback);
     if (answer(feed, pending, false)) {
--- a/steering/src/test/java/verbenahatch/steering/feed/PeerFeedsTest.java
+++ b/steering/src/test/java/verbenahatch/steering/feed/PeerFeedsTest.java
@@ -5,6 +5,10 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 import static verbenahatch.steering.feed.FeedSamples.revision;
 
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
@@ -193,6 +197,33 @@
     follower.close();
   }
 
+  /**
+   * A host behind a relay must list again after a restore of the store, although the revisions of
+   * the relay went back; a host that states no era must not do so without end.
+   */
+  @Test
+  void followerFollowsTheRelayIntoNewEra() throws Exception {
+    store.add(written(5, "a"));
+    nextApplied();
+    Follower<String> follower = follower(new FailingStore(), new FixedSources(address, null));
+    follower.start();
+    assertEquals(Set.of("a"), nextApplied().written().keySet());
+    StoreRevision restored = new StoreRevision(1, 3);
+    Changes<String> list = new Changes<>(Map.of("b", "b"), Set.of(), restored, restored);
+    store.add(Result.ok(list));
+    store.add(Result.ok(list));
+    assertEquals(list, nextApplied());
+    assertEquals(list, nextApplied());
+    follower.close();
+    URI uri = URI.create("http://" + address + "/feeds/zones?after=3&wait=0");
+    HttpRequest request = HttpRequest.newBuilder(uri).build();
+    int status =
+        HttpClient.newHttpClient()
+            .send(request, HttpResponse.BodyHandlers.discarding())
+            .statusCode();
+    assertEquals(200, status);
+  }
+
   /** A host whose calls to the store fail follows another host that reaches the store. */
   @Test
   void hostWithoutStoreFollowsSubstitute() throws InterruptedException {
