Keep the highest retained score as the bound for further candidates

The test in front of the logarithm is one multiplication and comparison; the rest moves to a method of its own. The 24 tests of TargetRankingTest pass.

--- a/routing/src/main/java/verbenahatch/routing/WeightedRendezvous.java
+++ b/routing/src/main/java/verbenahatch/routing/WeightedRendezvous.java
@@ -26,6 +26,9 @@
   private final double[] scores;
   private final long[] hashes;
 
+  /** Upper bound of the scores that are among the first; NaN if none is. */
+  private double maxScore;
+
   /**
    * Creates an empty ranking.
    *
@@ -36,6 +39,7 @@
     this.members = new ArrayList<>(this.limit);
     this.scores = new double[this.limit];
     this.hashes = new long[this.limit];
+    this.maxScore = this.limit == 0 ? Double.NaN : Double.POSITIVE_INFINITY;
   }
 
   /**
@@ -47,17 +51,19 @@
    * @param weight the weight of the member; without effect if it is not greater than 0
    */
   public void add(T member, long hash, double weight) {
-    if (!(weight > 0) || limit == 0) {
-      return;
-    }
-    double fraction = toFraction(hash);
-    int size = members.size();
     // A score is at least f / weight, as -ln(1 - f) is at least f. This spares most logarithms.
-    if (size == limit && fraction > scores[size - 1] * weight * ROUNDING_SLACK) {
+    if (toFraction(hash) <= maxScore * weight) {
+      insert(member, hash, weight);
+    }
+  }
+
+  private void insert(T member, long hash, double weight) {
+    if (!(weight > 0)) {
       return;
     }
+    int size = members.size();
     // Math.log1p may differ in the last bit between platforms.
-    double score = -StrictMath.log1p(-fraction) / weight;
+    double score = -StrictMath.log1p(-toFraction(hash)) / weight;
     int rank = size;
     while (rank > 0 && precedes(score, hash, rank - 1)) {
       rank--;
@@ -74,6 +80,9 @@
     scores[rank] = score;
     hashes[rank] = hash;
     members.add(rank, member);
+    if (members.size() == limit) {
+      maxScore = scores[limit - 1] * ROUNDING_SLACK;
+    }
   }
 
   /** Returns the first members in order of preference; empty if none was added. */
