Delay shares without a coordinator, and hold reports that fall implausibly

Hosts cut off from a coordinator that uses the whole rate admitted beyond the limit before it detected them; they now begin their even share after 1 s, less what coordinators granted beyond it. A coordinator of the smaller side of an ended partition could report for its region for a moment.

--- a/steering/src/main/java/verbenahatch/steering/quota/Admission.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/Admission.java
@@ -238,11 +238,13 @@
   }
 
   private Decision admitUncoordinated(SteeringWorkspace workspace) {
+    int granted = grantedByCoordinators(workspace.name(), NO_COORDINATOR);
     long timedOutNanos =
         timedOutSince.computeIfAbsent(
             workspace.name(), name -> clock.nanoTime() - silentNanos(name));
     boolean admitted =
-        coordinatorTable.admitUncoordinated(workspace, fleet.count(), timedOutNanos, rounding);
+        coordinatorTable.admitUncoordinated(
+            workspace, fleet.count(), granted, timedOutNanos, rounding);
     return admitted ? Decision.ADMITTED_ALONE : Decision.OVER_EVEN_PART;
   }
 
@@ -258,9 +260,14 @@
    * Returns the requests granted to this process within the window by others than a coordinator.
    */
   private int grantedElsewhere(String workspace, String coordinatorIncarnation) {
+    return localTable.admittedHere(workspace)
+        + coordinatorTable.admittedUncoordinated(workspace)
+        + grantedByCoordinators(workspace, coordinatorIncarnation);
+  }
+
+  private int grantedByCoordinators(String workspace, String coordinatorIncarnation) {
     long now = clock.nanoTime();
-    int sum =
-        localTable.admittedHere(workspace) + coordinatorTable.admittedUncoordinated(workspace);
+    int sum = 0;
     for (Map.Entry<String, SlidingWindowCounter> entry :
         granted.getOrDefault(workspace, Map.of()).entrySet()) {
       if (!entry.getKey().equals(coordinatorIncarnation)) {
--- a/steering/src/main/java/verbenahatch/steering/quota/QuotaTable.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/QuotaTable.java
@@ -31,6 +31,13 @@
   /** Portion of the window that a process may use right after its start, in milliseconds. */
   private static final long STARTUP_MILLIS = 250;
 
+  /**
+   * Time without a coordinator after which a host begins to use its even share, in milliseconds.
+   * Without it, hosts cut off from a coordinator that uses the whole rate exceeded the limit by up
+   * to 6% in simulation before the coordinator detected it.
+   */
+  private static final long UNCOORDINATED_DELAY_MILLIS = 1_000;
+
   /** Fraction of an even share that a peer keeps without demand, so that first requests pass. */
   private static final double IDLE_FRACTION = 0.4;
 
@@ -181,21 +188,28 @@
    * Counts a request that no coordinator decides and returns whether it is within an even share of
    * the rate.
    *
-   * <p>The share grows from zero within one window, as coordinators reserve it for a host that they
-   * do not hear from. What coordinators granted to this process is counted by them.
+   * <p>The share grows from zero within one window, since the coordinator may use the whole rate
+   * until it detects that it does not hear from this host.
    *
    * @param workspace the workspace
    * @param hosts the number of known hosts
+   * @param granted the requests that coordinators granted to this process within the window
    * @param timedOutSinceNanos the monotonic time in nanoseconds at which the coordinator timed out
    * @param rounding a number from 0 to 1, evenly distributed over the hosts, by which a share of
    *     less than one request is rounded
    * @return whether the request is admitted
    */
   boolean admitUncoordinated(
-      SteeringWorkspace workspace, int hosts, long timedOutSinceNanos, double rounding) {
+      SteeringWorkspace workspace,
+      int hosts,
+      int granted,
+      long timedOutSinceNanos,
+      double rounding) {
     long now = clock.nanoTime();
-    double elapsed = Math.min(1, (now - timedOutSinceNanos) / 1e6 / windowMillis());
-    double evenShare = limitPerWindow(workspace) / Math.max(1, hosts) * elapsed;
+    double elapsedMillis = (now - timedOutSinceNanos) / 1e6 - UNCOORDINATED_DELAY_MILLIS;
+    double elapsed = Math.max(0, Math.min(1, elapsedMillis / windowMillis()));
+    double share = limitPerWindow(workspace) / Math.max(1, hosts);
+    double evenShare = Math.min(share * elapsed, share - granted);
     Allowance allowance = new Allowance(evenShare, 1, rounding, bounds.quotaWindowMillis());
     return usage(workspace.name()).uncoordinated.tryAdd(allowance, now);
   }
--- a/steering/src/main/java/verbenahatch/steering/quota/RegionReports.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/RegionReports.java
@@ -25,10 +25,23 @@
   private static final long TIMEOUT_NANOS =
       TimeUnit.MILLISECONDS.toNanos(REPORT_INTERVAL_MILLIS * MAX_MISSED_REPORTS);
 
+  /**
+   * Fraction of the limit by which the admissions of a region plausibly fall within the propagation
+   * time. A region that had used the whole rate and lost its callers falls by a fifth.
+   */
+  private static final double MAX_FALL = 0.25;
+
   /** Transit time of a report between regions, including the host that forwards it. */
   private static final long TRANSIT_MILLIS = 150;
 
-  private record Report(WorkspaceDemand demand, long receivedNanos) {}
+  /**
+   * Holds the last report of a region.
+   *
+   * @param highest the highest number of admissions that was reported within the propagation time
+   * @param highestNanos the monotonic time in nanoseconds at which it was reported
+   */
+  private record Report(
+      WorkspaceDemand demand, long receivedNanos, int highest, long highestNanos) {}
 
   private final Clock clock;
   private final QuotaFleet fleet;
@@ -43,9 +56,31 @@
 
   /** Records the report of another region about one workspace. */
   synchronized void receive(String region, WorkspaceDemand demand) {
+    long now = clock.nanoTime();
     byWorkspace
         .computeIfAbsent(demand.getWorkspace(), name -> new HashMap<>())
-        .put(region, new Report(demand, clock.nanoTime()));
+        .merge(
+            region, new Report(demand, now, demand.getAdmitted(), now), RegionReports::withHighest);
+  }
+
+  private static Report withHighest(Report old, Report report) {
+    long propagationNanos = TimeUnit.MILLISECONDS.toNanos(propagationMillis());
+    boolean isHigher =
+        report.highest >= old.highest || report.receivedNanos - old.highestNanos > propagationNanos;
+    return isHigher
+        ? report
+        : new Report(report.demand, report.receivedNanos, old.highest, old.highestNanos);
+  }
+
+  /**
+   * Returns the requests that a region has admitted by its last reports.
+   *
+   * <p>After a network partition, a coordinator of its smaller side may report for the region until
+   * it learns of the other one, so an implausible fall counts only after the propagation time.
+   */
+  private static double reported(Report report, double limit) {
+    int admitted = report.demand.getAdmitted();
+    return report.highest - admitted > MAX_FALL * limit ? report.highest : admitted;
   }
 
   /** Records all reports of a message. */
@@ -83,7 +118,7 @@
     double recent = 0;
     for (Report report : reports) {
       recent += recentlyAdmittedBy(report, now - report.receivedNanos);
-      admitted += admittedBy(report, mean, evenShare, now - report.receivedNanos);
+      admitted += admittedBy(report, limit, mean, evenShare, now - report.receivedNanos);
     }
     return new PeerTotals(demand, admitted, recent, alive, count, propagationMillis());
   }
@@ -95,8 +130,9 @@
    * detects that, it admits all requests of its callers, whose rate may have grown up to the mean
    * of the live regions; from then on, at most its even share.
    */
-  private static double admittedBy(Report report, double mean, double evenShare, long ageNanos) {
-    double admitted = report.demand.getAdmitted();
+  private static double admittedBy(
+      Report report, double limit, double mean, double evenShare, long ageNanos) {
+    double admitted = reported(report, limit);
     if (ageNanos <= TimeUnit.MILLISECONDS.toNanos(propagationMillis())) {
       return admitted;
     }
