Keep objects at targets with free slots above the bound on loads

At low load the bound skips targets that have free slots and the object in their cache. TargetRanking.firstWithRoom also counts a free slot as room; firstWithinBound remains the plain rule.

--- a/bench/src/main/java/verbenahatch/measure/routing/BoundedLoadMeasurement.java
+++ b/bench/src/main/java/verbenahatch/measure/routing/BoundedLoadMeasurement.java
@@ -37,7 +37,7 @@
   private enum Policy {
     FIRST,
     BOUNDED,
-    BOUNDED_WITHOUT_FREE_SLOT
+    FREE_SLOT_OR_BOUNDED
   }
 
   private static final class Node {
@@ -135,10 +135,12 @@
   }
 
   private static Node choose(Policy policy, List<Node> nodes, long objectHash) {
-    Node first = RANKING.first(objectHash, nodes, 1).get(0);
-    boolean isFirstTaken =
-        policy == Policy.FIRST
-            || (policy == Policy.BOUNDED_WITHOUT_FREE_SLOT && first.load < SLOTS);
-    return isFirstTaken ? first : RANKING.firstWithinBound(objectHash, nodes, 1).get(0);
+    List<Node> ranked =
+        switch (policy) {
+          case FIRST -> RANKING.first(objectHash, nodes, 1);
+          case BOUNDED -> RANKING.firstWithinBound(objectHash, nodes, 1);
+          case FREE_SLOT_OR_BOUNDED -> RANKING.firstWithRoom(objectHash, nodes, 1);
+        };
+    return ranked.get(0);
   }
 }
--- a/routing/src/main/java/verbenahatch/routing/TargetRanking.java
+++ b/routing/src/main/java/verbenahatch/routing/TargetRanking.java
@@ -76,6 +76,28 @@
    *     are no candidates or the count is not positive
    */
   public List<T> firstWithinBound(long objectHash, List<? extends T> candidates, int count) {
+    return rankByRoom(objectHash, candidates, count, false);
+  }
+
+  /**
+   * Returns the targets that come first for an object, with those that have neither a free slot nor
+   * a load within the {@link LoadBound} after all others.
+   *
+   * <p>At low load the bound alone skips targets that have free slots and the object in their
+   * cache: in {@code ./measure bounded-load}, half of the warm requests become cold.
+   *
+   * @param objectHash the hash of the object
+   * @param candidates the usable targets; must allow access by index in constant time
+   * @param count the maximum number of targets to return
+   * @return the targets in order of preference; empty if there are no candidates or the count is
+   *     not positive
+   */
+  public List<T> firstWithRoom(long objectHash, List<? extends T> candidates, int count) {
+    return rankByRoom(objectHash, candidates, count, true);
+  }
+
+  private List<T> rankByRoom(
+      long objectHash, List<? extends T> candidates, int count, boolean freeSlotsCount) {
     double[] loads = new double[candidates.size()];
     double totalLoad = 0;
     long totalSize = 0;
@@ -91,7 +113,8 @@
     WeightedRendezvous<T> full = new WeightedRendezvous<>(limit);
     for (int i = 0; i < loads.length; i++) {
       T candidate = candidates.get(i);
-      boolean hasRoom = bound.hasRoom(loads[i], boundedSize(view.size(candidate)));
+      int size = boundedSize(view.size(candidate));
+      boolean hasRoom = bound.hasRoom(loads[i], size) || (freeSlotsCount && loads[i] < size);
       add(hasRoom ? withRoom : full, candidate, objectHash);
     }
     List<T> ranked = new ArrayList<>(withRoom.toList());
--- a/routing/src/test/java/verbenahatch/routing/TargetRankingTest.java
+++ b/routing/src/test/java/verbenahatch/routing/TargetRankingTest.java
@@ -206,6 +206,22 @@
     }
   }
 
+  /** A target with a free slot must keep its objects at low load, and be bounded without one. */
+  @Test
+  void freeSlotsAreUsedAboveTheBound() {
+    List<Entry> targets = targets(92);
+    for (int object = 0; object < 1_000; object++) {
+      long hash = Hashing.mix(object);
+      List<Entry> ranked = RANKING.first(hash, targets, 2);
+      Entry preferred = ranked.get(0);
+      preferred.load[0] = preferred.size - 1;
+      assertEquals(ranked, RANKING.firstWithRoom(hash, targets, 2));
+      preferred.load[0] = preferred.size;
+      assertEquals(ranked.get(1), RANKING.firstWithRoom(hash, targets, 2).get(0));
+      preferred.load[0] = 0;
+    }
+  }
+
   /** A target within the bound keeps its objects, also when others are above the bound. */
   @Test
   void boundedLoadMovesNoObjectsOfOtherTargets() {
