Tell refusals over the rate from refusals for a lack of knowledge

The decision UNKNOWN_USAGE, in the metric and in reason=, refuses a request that fits by the known admissions, but not with what is reserved for hosts or regions that are new or not heard from. The coordinator says so by the verdict 4, which the generated messages do not name yet (no protoc was run). A host of an earlier version takes it for a missing coordinator and refuses.

AdmissionTest, QuotaChurnTest, HostTableTest and the tests of quota pass.

--- a/steering/src/main/java/verbenahatch/steering/quota/Admission.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/Admission.java
@@ -53,6 +53,12 @@
    */
   private static final double TOLERATED_LOSS = 0.1;
 
+  /**
+   * The verdict of {@link Decision#UNKNOWN_USAGE}, which the generated messages do not name yet. A
+   * host that does not know it decides as without a coordinator, and refuses while one answers.
+   */
+  private static final int UNKNOWN_USAGE_VALUE = 4;
+
   /** Matches the incarnation of no coordinator, so that all grants are counted. */
   private static final String NO_COORDINATOR = "";
 
@@ -82,6 +88,11 @@
     ADMITTED(true),
     /** It exceeds the rate. */
     OVER_QUOTA(false),
+    /**
+     * The known admissions are within the rate, but not with what is reserved for hosts and regions
+     * that are new or not heard from.
+     */
+    UNKNOWN_USAGE(false),
     /** The coordinator timed out, and an even share of the rate had headroom. */
     ADMITTED_ALONE(true),
     /** The coordinator timed out, and an even share of the rate was used up. */
@@ -124,8 +135,7 @@
   private final AtomicLong ids = new AtomicLong();
   private final Map<Long, PendingRequest> pending = new ConcurrentHashMap<>();
 
-  /** What this region's coordinators reported, by workspace; used by one thread at a time. */
-  private final Map<String, AdmissionHistory> coordinatorHistories = new HashMap<>();
+  private final CoordinatorHistories histories;
 
   /** What this process was granted, by workspace and by the incarnation that granted it. */
   private final Map<String, Map<String, SlidingWindowCounter>> granted = new ConcurrentHashMap<>();
@@ -149,6 +159,7 @@
     this.bounds = bounds;
     this.fleet = fleet;
     rounding = (Hashing.mix(Hashing.of(fleet.incarnation())) >>> 11) * 0x1.0p-53;
+    histories = new CoordinatorHistories(clock, fleet.region(), bounds.quotaWindowMillis());
     smoothedAliveFraction =
         new SmoothedAliveFraction(bounds.quotaWindowMillis(), 0, clock.nanoTime());
     regionReports = new RegionReports(clock, fleet, bounds.quotaWindowMillis());
@@ -179,7 +190,7 @@
       return;
     }
     if (fleet.isSmallFleet()) {
-      callback.accept(localTable.admit(workspace) ? Decision.ADMITTED : Decision.OVER_QUOTA);
+      callback.accept(localTable.admit(workspace));
       return;
     }
     Member coordinator = coordinators.coordinator(workspace.name());
@@ -191,9 +202,9 @@
     if (coordinator.incarnation().equals(fleet.incarnation())) {
       timedOutSince.remove(workspace.name());
       int elsewhere = grantedElsewhere(workspace.name(), coordinator.incarnation());
-      boolean admitted =
+      Decision decision =
           coordinatorTable.admitFor(workspace.name(), coordinator.incarnation(), elsewhere);
-      callback.accept(recordDecision(workspace.name(), coordinator, admitted));
+      callback.accept(recordDecision(workspace.name(), coordinator, decision));
       return;
     }
     PendingRequest request =
@@ -207,7 +218,8 @@
             sendRequest(request, datagrams);
           }
         });
-    datagrams.runAfter(TIMEOUT_MILLIS, () -> finish(request.id, AdmissionAnswer.Verdict.NOT_HOME));
+    datagrams.runAfter(
+        TIMEOUT_MILLIS, () -> finish(request.id, AdmissionAnswer.Verdict.NOT_HOME_VALUE));
   }
 
   private void sendRequest(PendingRequest pendingRequest, Transport datagrams) {
@@ -224,9 +236,9 @@
         PeerDatagram.newBuilder().setAdmissionRequest(request).build());
   }
 
-  private Decision recordDecision(String workspace, Member coordinator, boolean admitted) {
-    if (!admitted) {
-      return Decision.OVER_QUOTA;
+  private Decision recordDecision(String workspace, Member coordinator, Decision decision) {
+    if (!decision.isAdmitted()) {
+      return decision;
     }
     granted
         .computeIfAbsent(workspace, name -> new ConcurrentHashMap<>())
@@ -277,22 +289,25 @@
     return sum;
   }
 
-  private void finish(long id, AdmissionAnswer.Verdict verdict) {
+  private void finish(long id, int verdict) {
     PendingRequest request = pending.remove(id);
     if (request == null) {
       return;
     }
-    switch (verdict) {
-      case ADMITTED ->
-          request.callback.accept(
-              recordDecision(request.workspace.name(), request.coordinator, true));
-      case OVER_QUOTA -> request.callback.accept(Decision.OVER_QUOTA);
-      default -> request.callback.accept(admitUncoordinated(request.workspace));
-    }
-    if (verdict == AdmissionAnswer.Verdict.ADMITTED
-        || verdict == AdmissionAnswer.Verdict.OVER_QUOTA) {
-      timedOutSince.remove(request.workspace.name());
+    String workspace = request.workspace.name();
+    @Nullable Decision decision =
+        switch (verdict) {
+          case AdmissionAnswer.Verdict.ADMITTED_VALUE -> Decision.ADMITTED;
+          case AdmissionAnswer.Verdict.OVER_QUOTA_VALUE -> Decision.OVER_QUOTA;
+          case UNKNOWN_USAGE_VALUE -> Decision.UNKNOWN_USAGE;
+          default -> null;
+        };
+    if (decision == null) {
+      request.callback.accept(admitUncoordinated(request.workspace));
+      return;
     }
+    timedOutSince.remove(workspace);
+    request.callback.accept(recordDecision(workspace, request.coordinator, decision));
   }
 
   /**
@@ -309,22 +324,27 @@
     switch (datagram.getContentCase()) {
       case ADMISSION_REQUEST -> respond(datagram.getAdmissionRequest(), senderAddress, datagrams);
       case ADMISSION_ANSWER ->
-          finish(datagram.getAdmissionAnswer().getId(), datagram.getAdmissionAnswer().getVerdict());
+          finish(
+              datagram.getAdmissionAnswer().getId(),
+              datagram.getAdmissionAnswer().getVerdictValue());
       case REGION_USE -> receiveRegionUse(datagram.getRegionUse(), datagrams);
       default -> {}
     }
   }
 
   private void respond(AdmissionRequest request, String senderAddress, Transport datagrams) {
-    AdmissionAnswer.Verdict verdict = AdmissionAnswer.Verdict.NOT_HOME;
+    int verdict = AdmissionAnswer.Verdict.NOT_HOME_VALUE;
     if (coordinatedWorkspaces.contains(request.getWorkspace())) {
-      boolean admitted =
-          coordinatorTable.admitFor(
-              request.getWorkspace(), request.getIncarnation(), request.getGrantedElsewhere());
-      verdict = admitted ? AdmissionAnswer.Verdict.ADMITTED : AdmissionAnswer.Verdict.OVER_QUOTA;
+      verdict =
+          switch (coordinatorTable.admitFor(
+              request.getWorkspace(), request.getIncarnation(), request.getGrantedElsewhere())) {
+            case ADMITTED -> AdmissionAnswer.Verdict.ADMITTED_VALUE;
+            case UNKNOWN_USAGE -> UNKNOWN_USAGE_VALUE;
+            default -> AdmissionAnswer.Verdict.OVER_QUOTA_VALUE;
+          };
     }
     AdmissionAnswer answer =
-        AdmissionAnswer.newBuilder().setId(request.getId()).setVerdict(verdict).build();
+        AdmissionAnswer.newBuilder().setId(request.getId()).setVerdictValue(verdict).build();
     datagrams.send(senderAddress, PeerDatagram.newBuilder().setAdmissionAnswer(answer).build());
   }
 
@@ -370,7 +390,7 @@
     double lost = recentlyKnownFraction.update(knownFraction, clock.nanoTime()) - knownFraction;
     double unreported = Math.max(0, lost - TOLERATED_LOSS) * (1 - fleet.fractionInRegion());
     double reservedFraction = (1 - knownFraction) * fleet.fractionInRegion() + unreported;
-    recordCoordinatorUsages();
+    histories.update(fleet.live());
     Set<String> ownNames = new HashSet<>();
     List<SteeringWorkspace> ownWorkspaces = new ArrayList<>();
     for (SteeringWorkspace workspace : workspaces) {
@@ -379,51 +399,14 @@
         ownNames.add(workspace.name());
         ownWorkspaces.add(workspace);
         if (!coordinatedWorkspaces.contains(workspace.name())) {
-          inherit(workspace.name());
+          coordinatorTable.inherit(workspace.name(), histories.of(workspace.name()));
         }
       }
     }
-    coordinatorTable.allocate(ownWorkspaces, reservedFraction, liveIncarnations());
+    coordinatorTable.allocate(ownWorkspaces, reservedFraction, fleet.liveIncarnations());
     coordinatedWorkspaces = Set.copyOf(ownNames);
   }
 
-  private Set<String> liveIncarnations() {
-    Set<String> incarnations = new HashSet<>();
-    incarnations.add(fleet.incarnation());
-    fleet.live().forEach(heartbeat -> incarnations.add(heartbeat.getIncarnation()));
-    return incarnations;
-  }
-
-  private void recordCoordinatorUsages() {
-    Map<String, WorkspaceDemand> demands = new HashMap<>();
-    for (HostBeat heartbeat : fleet.live()) {
-      if (heartbeat.getRegion().equals(fleet.region())) {
-        heartbeat
-            .getDemandsList()
-            .forEach(
-                demand ->
-                    demands.merge(
-                        demand.getWorkspace(),
-                        demand,
-                        (old, other) -> old.getAdmitted() < other.getAdmitted() ? other : old));
-      }
-    }
-    long now = clock.nanoTime();
-    demands.forEach(
-        (workspace, demand) ->
-            coordinatorHistories
-                .computeIfAbsent(
-                    workspace, name -> new AdmissionHistory(bounds.quotaWindowMillis(), now))
-                .update(demand.getAdmitted(), demand.getPerSecond(), now));
-  }
-
-  private void inherit(String workspace) {
-    AdmissionHistory earlier = coordinatorHistories.get(workspace);
-    if (earlier != null) {
-      coordinatorTable.inherit(workspace, earlier);
-    }
-  }
-
   /** Returns the time between two calls of {@link #sendReports}, in milliseconds. */
   public static long reportIntervalMillis() {
     return RegionReports.REPORT_INTERVAL_MILLIS;
--- a/steering/src/main/java/verbenahatch/steering/quota/AdmittingPeers.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/AdmittingPeers.java
@@ -12,6 +12,7 @@
    * @param demandPerSecond the requests per second that their callers send
    * @param admitted the requests that they admitted within the quota window, or may have admitted
    *     without this host's knowledge
+   * @param unknown the part of {@code admitted} that no report shows
    * @param recent the part of {@code admitted} that is probably within the propagation time
    * @param alive the number of these peers that are alive
    * @param count the number of all peers that admit requests, this one included
@@ -20,6 +21,7 @@
   record PeerTotals(
       double demandPerSecond,
       double admitted,
+      double unknown,
       double recent,
       int alive,
       int count,
--- a/steering/src/main/java/verbenahatch/steering/quota/HeartbeatReports.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/HeartbeatReports.java
@@ -98,6 +98,7 @@
     return new PeerTotals(
         demands.getOrDefault(workspace, 0.0),
         admitted.getOrDefault(workspace, 0.0) + limit * (1 - knownFraction),
+        limit * (1 - knownFraction),
         0,
         alive,
         count,
--- a/steering/src/main/java/verbenahatch/steering/quota/QuotaFleet.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/QuotaFleet.java
@@ -1,5 +1,6 @@
 package verbenahatch.steering.quota;
 
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -50,6 +51,18 @@
    */
   List<HostBeat> live();
 
+  /**
+   * Returns the incarnations of the processes that are alive.
+   *
+   * @return incarnations, that of this process included
+   */
+  default Set<String> liveIncarnations() {
+    Set<String> incarnations = new HashSet<>();
+    incarnations.add(incarnation());
+    live().forEach(heartbeat -> incarnations.add(heartbeat.getIncarnation()));
+    return incarnations;
+  }
+
   /**
    * Counts the known hosts, this one included.
    *
--- a/steering/src/main/java/verbenahatch/steering/quota/QuotaTable.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/QuotaTable.java
@@ -10,6 +10,7 @@
 import verbenahatch.kernel.Clock;
 import verbenahatch.steering.model.SteeringDocument.SteeringWorkspace;
 import verbenahatch.steering.model.SteeringSettings.Bounds;
+import verbenahatch.steering.quota.Admission.Decision;
 import verbenahatch.steering.quota.AdmittingPeers.PeerTotals;
 import verbenahatch.steering.quota.SlidingWindowCounter.Allowance;
 
@@ -58,12 +59,13 @@
    *
    * @param headroom the requests that this peer and the live ones may admit in one window, less
    *     those that the others admitted
+   * @param unknown the requests that the headroom leaves out though no report shows them
    * @param share this peer's fraction of the headroom
    * @param othersRecent the requests that the others admitted too recently for all to know
    * @param recentMillis the time in milliseconds until the others know of an admission
    */
   private record Allocation(
-      double headroom, double share, double othersRecent, long recentMillis) {}
+      double headroom, double unknown, double share, double othersRecent, long recentMillis) {}
 
   /** Requests that others granted a process within the window, and when the process said so. */
   private record GrantReport(int requests, long atNanos) {}
@@ -76,7 +78,7 @@
     final Map<String, SlidingWindowCounter> grantsByIncarnation = new ConcurrentHashMap<>();
     volatile double demand;
     volatile @Nullable AdmissionHistory inherited;
-    volatile Allocation allocation = new Allocation(0, 0, 0, 0);
+    volatile Allocation allocation = new Allocation(0, 0, 0, 0, 0);
     volatile double reserved;
 
     /**
@@ -114,6 +116,15 @@
       return Math.max(granted(now) + reserved, inherited(now));
     }
 
+    /**
+     * Returns the decision that refuses a request.
+     *
+     * @param withoutReserve what would be allowed if nothing were reserved for unknown admissions
+     */
+    Decision refusal(Allowance withoutReserve, long now) {
+      return admitted.allows(withoutReserve, now) ? Decision.UNKNOWN_USAGE : Decision.OVER_QUOTA;
+    }
+
     /** Removes processes without grants and returns the grants to those that are not alive. */
     int grantedToOthersThan(Set<String> liveIncarnations, long now) {
       grantsByIncarnation.values().removeIf(counter -> counter.count(now) == 0);
@@ -140,27 +151,32 @@
     this.lastNanos = startNanos;
   }
 
-  /** Counts a request of this host's callers and returns whether it is within the rate. */
-  boolean admit(SteeringWorkspace workspace) {
+  /** Counts a request of this host's callers and decides whether it is within the rate. */
+  Decision admit(SteeringWorkspace workspace) {
     Usage usage = usage(workspace.name());
     usage.requested.increment();
     Allocation allocation = usage.allocation;
     long now = clock.nanoTime();
     double share = allocation.share * usableFraction(now);
     Allowance allowance = new Allowance(allocation.headroom, share, 0, allocation.recentMillis);
-    return usage.admitted.tryAdd(allowance, now);
+    if (usage.admitted.tryAdd(allowance, now)) {
+      return Decision.ADMITTED;
+    }
+    double known = allocation.headroom + allocation.unknown;
+    Allowance withoutReserve = new Allowance(known, allocation.share, 0, allocation.recentMillis);
+    return usage.refusal(withoutReserve, now);
   }
 
   /**
-   * Counts a request of a host that asks this coordinator and returns whether it is within the
+   * Counts a request of a host that asks this coordinator and decides whether it is within the
    * rate.
    *
    * @param workspace the name of the workspace
    * @param incarnation the incarnation of the requesting process
    * @param grantedElsewhere the requests that others granted to that process within the window
-   * @return whether the request is admitted
+   * @return whether the request is admitted, and if not, why
    */
-  boolean admitFor(String workspace, String incarnation, int grantedElsewhere) {
+  Decision admitFor(String workspace, String incarnation, int grantedElsewhere) {
     Usage usage = usage(workspace);
     usage.requested.increment();
     long now = clock.nanoTime();
@@ -175,13 +191,17 @@
         new Allowance(
             headroom, allocation.share, allocation.othersRecent, 0, allocation.recentMillis);
     if (!usage.admitted.tryAdd(allowance, now)) {
-      return false;
+      double known = allocation.headroom + allocation.unknown - usage.grantedByOthers(now);
+      Allowance withoutReserve =
+          new Allowance(
+              known, allocation.share, allocation.othersRecent, 0, allocation.recentMillis);
+      return usage.refusal(withoutReserve, now);
     }
     usage
         .grantsByIncarnation
         .computeIfAbsent(incarnation, name -> new SlidingWindowCounter(bounds.quotaWindowMillis()))
         .add(now);
-    return true;
+    return Decision.ADMITTED;
   }
 
   /**
@@ -287,6 +307,7 @@
       usage.allocation =
           new Allocation(
               headroom,
+              others.unknown(),
               share / others.aliveFraction(),
               others.recent(),
               others.propagationMillis());
--- a/steering/src/main/java/verbenahatch/steering/quota/RegionReports.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/RegionReports.java
@@ -115,12 +115,15 @@
     double evenShare = limit / count;
     double mean = demand / Math.max(1, alive);
     double admitted = evenShare * (count - 1 - reports.size());
+    double unknown = admitted;
     double recent = 0;
     for (Report report : reports) {
       recent += recentlyAdmittedBy(report, now - report.receivedNanos);
-      admitted += admittedBy(report, limit, mean, evenShare, now - report.receivedNanos);
+      double charged = admittedBy(report, limit, mean, evenShare, now - report.receivedNanos);
+      admitted += charged;
+      unknown += charged - report.demand.getAdmitted();
     }
-    return new PeerTotals(demand, admitted, recent, alive, count, propagationMillis());
+    return new PeerTotals(demand, admitted, unknown, recent, alive, count, propagationMillis());
   }
 
   /**
--- a/steering/src/main/java/verbenahatch/steering/quota/SlidingWindowCounter.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/SlidingWindowCounter.java
@@ -69,6 +69,16 @@
    * @return whether the event was added
    */
   synchronized boolean tryAdd(Allowance allowance, long nowNanos) {
+    if (!allows(allowance, nowNanos)) {
+      return false;
+    }
+    counts[index(newestBucket)]++;
+    sum++;
+    return true;
+  }
+
+  /** Returns whether {@link #tryAdd} would add an event, without adding it. */
+  synchronized boolean allows(Allowance allowance, long nowNanos) {
     advance(nowNanos);
     long recentBuckets = TimeUnit.MILLISECONDS.toNanos(allowance.recentMillis) / bucketNanos;
     int recent = 0;
@@ -77,12 +87,7 @@
     }
     double headroom = allowance.limit - (sum - recent);
     double shared = (headroom + allowance.othersRecent) * allowance.share;
-    if (headroom <= 0 || recent + 1 > Math.min(headroom, shared) + allowance.rounding) {
-      return false;
-    }
-    counts[index(newestBucket)]++;
-    sum++;
-    return true;
+    return headroom > 0 && recent + 1 <= Math.min(headroom, shared) + allowance.rounding;
   }
 
   private void advance(long nowNanos) {
--- a/steering/src/test/java/verbenahatch/steering/QuotaChurnTest.java
+++ b/steering/src/test/java/verbenahatch/steering/QuotaChurnTest.java
@@ -2,9 +2,11 @@
 
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.Map;
 import java.util.function.Consumer;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import verbenahatch.steering.quota.Admission.Decision;
 
 /**
  * Guards against refusals of a workspace that is within its rate while hosts restart, come back,
@@ -152,4 +154,15 @@
     double refused = play(scenario, 1, size, 40, 1).refusedShare();
     assertTrue(refused <= maxRefused, "refused " + refused);
   }
+
+  /** Operators must be able to tell demand over the rate from a lack of knowledge. */
+  @ParameterizedTest
+  @CsvSource({"STEADY, 4, OVER_QUOTA, UNKNOWN_USAGE", "POWER_LOSS, 1, UNKNOWN_USAGE, OVER_QUOTA"})
+  void refusalsNameTheirCause(
+      Scenario scenario, double demand, Decision expected, Decision unexpected) {
+    Map<Decision, Integer> decisions = play(scenario, 1, 20, 40, demand).decisions;
+    int right = decisions.getOrDefault(expected, 0);
+    int wrong = decisions.getOrDefault(unexpected, 0);
+    assertTrue(right > 10 && wrong * 10 <= right, decisions.toString());
+  }
 }
