--- a/steering/src/main/java/verbenahatch/steering/quota/RegionReports.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/RegionReports.java
@@ -63,6 +63,11 @@
             region, new Report(demand, now, demand.getAdmitted(), now), RegionReports::withHighest);
   }
 
+  /** Records all reports of a message. */
+  void receive(RegionUse use) {
+    use.getDemandsList().forEach(demand -> receive(use.getRegion(), demand));
+  }
+
   private static Report withHighest(Report old, Report report) {
     long propagationNanos = TimeUnit.MILLISECONDS.toNanos(propagationMillis());
     boolean isHigher =
@@ -83,11 +88,6 @@
     return report.highest - admitted > MAX_FALL * limit ? report.highest : admitted;
   }
 
-  /** Records all reports of a message. */
-  void receive(RegionUse use) {
-    use.getDemandsList().forEach(demand -> receive(use.getRegion(), demand));
-  }
-
   @Override
   public synchronized void refresh() {
     long now = clock.nanoTime();
