Tell where a request would go now, without the estimate of each target

verbenahatchctl where asks a host on the port of its metrics (POST /where) for route, next service and version rule, quota, each target with the reason why it is excluded, and the refusal that a caller would get. The host only reads its state: sequences are peeked at, and the quota counts nothing. The key is neither in the result nor in a log. The estimates and the choice need a view of TargetSelector without side effects, which is not part of this.

--- a/ctl/src/main/java/verbenahatch/ctl/ApiRequest.java
+++ b/ctl/src/main/java/verbenahatch/ctl/ApiRequest.java
@@ -48,6 +48,9 @@
 
   /** Returns whether the request changes something, as opposed to reading or validating. */
   boolean isChange() {
-    return !method.equals("GET") && !path.endsWith("/validate") && !path.endsWith("/diff");
+    return !method.equals("GET")
+        && !path.endsWith("/validate")
+        && !path.endsWith("/diff")
+        && !path.equals("/where");
   }
 }
--- a/ctl/src/main/java/verbenahatch/ctl/CtlMain.java
+++ b/ctl/src/main/java/verbenahatch/ctl/CtlMain.java
@@ -43,7 +43,8 @@
       KeyCommand.class,
       DrainCommand.class,
       ReleaseCommand.class,
-      ExplainCommand.class
+      ExplainCommand.class,
+      WhereCommand.class
     })
 public final class CtlMain implements Runnable {
 
@@ -144,7 +145,12 @@
 
   /** Sends a request without a credential, prints the result and returns the exit code. */
   int sendAndPrintWithoutCredential(ApiRequest request) {
-    return report(send(request, ""));
+    return report(sendWithoutCredential(request));
+  }
+
+  /** Sends a request without a credential. */
+  ApiResult sendWithoutCredential(ApiRequest request) {
+    return send(request, "");
   }
 
   /** Prints a result and returns the exit code. */
--- a/ctl/src/test/java/verbenahatch/ctl/CtlMainTest.java
+++ b/ctl/src/test/java/verbenahatch/ctl/CtlMainTest.java
@@ -140,7 +140,8 @@
         "release start",
         "release status",
         "release watch",
-        "release take-back"
+        "release take-back",
+        "where"
       })
   void showsHelpOfEachCommand(String command) {
     List<String> args = new ArrayList<>(List.of(command.split(" ", -1)));
--- a/steering/src/main/java/verbenahatch/steering/DocumentIndex.java
+++ b/steering/src/main/java/verbenahatch/steering/DocumentIndex.java
@@ -67,16 +67,26 @@
    * parts also over few requests.
    */
   String nextService(SteeringRoute route) {
-    List<RoutePart> parts = route.parts();
     LowDiscrepancySequence sequence = sequences.get(route.name());
-    if (sequence == null) {
+    return service(route, sequence == null ? 0 : sequence.next());
+  }
+
+  /** Returns the service that the next request of a route would get, and draws nothing. */
+  String peekService(SteeringRoute route) {
+    LowDiscrepancySequence sequence = sequences.get(route.name());
+    return service(route, sequence == null ? 0 : sequence.peek());
+  }
+
+  private static String service(SteeringRoute route, double position) {
+    List<RoutePart> parts = route.parts();
+    if (parts.size() == 1) {
       return parts.get(0).service();
     }
     double sum = 0;
     for (RoutePart part : parts) {
       sum += part.weight();
     }
-    double point = sequence.next() * sum;
+    double point = position * sum;
     for (RoutePart part : parts) {
       point -= part.weight();
       if (point < 0) {
--- a/steering/src/main/java/verbenahatch/steering/EntryServer.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryServer.java
@@ -7,10 +7,12 @@
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpMethod;
 import org.eclipse.jetty.http.HttpParser;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.UriCompliance;
 import org.eclipse.jetty.io.ArrayByteBufferPool;
+import org.eclipse.jetty.io.Content;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.io.QuietException;
 import org.eclipse.jetty.server.Handler;
@@ -25,12 +27,15 @@
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 import org.eclipse.jetty.util.thread.Scheduler;
+import org.jspecify.annotations.Nullable;
 import verbenahatch.http.DispatchGate;
 import verbenahatch.http.IdleCaller;
 import verbenahatch.http.WatchedConnectionFactory;
 import verbenahatch.kernel.Closer;
 import verbenahatch.kernel.Json;
+import verbenahatch.kernel.JsonException;
 import verbenahatch.kernel.Kernel;
+import verbenahatch.steering.RequestPreview.Query;
 import verbenahatch.steering.feed.FeedPublisher;
 import verbenahatch.steering.model.SteeringDocument.CallerLimits;
 import verbenahatch.steering.model.SteeringSettings;
@@ -56,6 +61,9 @@
   /** Limit of pooled buffer memory in bytes, for heap and direct buffers each. */
   private static final long MAX_POOLED_BYTES = 16L * 1024 * 1024;
 
+  /** Longest query of where a request would go, in bytes; a key and an object are short. */
+  private static final int MAX_QUERY_BYTES = 16 * 1024;
+
   /** Connections that may wait to be accepted; bursts open hundreds at once. */
   private static final int ACCEPT_QUEUE = 1_024;
 
@@ -189,8 +197,28 @@
       respond(response, callback, 200, "application/json", dump);
     } else if ("/metrics".equals(path)) {
       respond(response, callback, 200, "text/plain; version=0.0.4", metrics(kernel.metrics()));
+    } else if ("/where".equals(path) && HttpMethod.POST.is(request.getMethod())) {
+      Content.Source.asByteArrayAsync(request, MAX_QUERY_BYTES)
+          .whenComplete((body, failure) -> explain(body, failure, response, callback));
     } else {
-      respond(response, callback, 404, "text/plain", "paths are /state and /metrics");
+      String text = "paths are /state, /metrics and POST /where";
+      respond(response, callback, 404, "text/plain", text);
+    }
+  }
+
+  /** Responds to a query of {@link RequestPreview}; no part of the query, which may hold a key. */
+  private void explain(
+      byte @Nullable [] body, @Nullable Throwable failure, Response response, Callback callback) {
+    if (body == null || failure != null) {
+      respond(response, callback, 400, "text/plain", "the query could not be read");
+      return;
+    }
+    try {
+      Query query = Json.read(body, Query.class);
+      String result = Json.writePretty(RequestPreview.of(state, query));
+      respond(response, callback, 200, "application/json", result);
+    } catch (JsonException e) {
+      respond(response, callback, 400, "text/plain", "the query is not valid");
     }
   }
 
--- a/steering/src/main/java/verbenahatch/steering/LowDiscrepancySequence.java
+++ b/steering/src/main/java/verbenahatch/steering/LowDiscrepancySequence.java
@@ -20,6 +20,15 @@
 
   /** Returns the next number, at least 0 and less than 1. */
   double next() {
-    return (counter.getAndIncrement() * GOLDEN_FRACTION) % 1.0;
+    return at(counter.getAndIncrement());
+  }
+
+  /** Returns what {@link #next} would return, and draws nothing. */
+  double peek() {
+    return at(counter.get());
+  }
+
+  private static double at(long position) {
+    return (position * GOLDEN_FRACTION) % 1.0;
   }
 }
--- a/steering/src/main/java/verbenahatch/steering/ReleaseTable.java
+++ b/steering/src/main/java/verbenahatch/steering/ReleaseTable.java
@@ -152,6 +152,15 @@
 
   /** Returns the rule that the next request of a service must follow. */
   VersionRule nextVersionRule(String service) {
+    return versionRule(service, true);
+  }
+
+  /** Returns the rule that the next request of a service would follow, and draws nothing. */
+  VersionRule peekVersionRule(String service) {
+    return versionRule(service, false);
+  }
+
+  private VersionRule versionRule(String service, boolean draws) {
     Release release = releases.get(service);
     if (release == null) {
       return new VersionRule(null, unknownVersion(service));
@@ -164,7 +173,8 @@
     if (release.halted || state == State.ROLLED_BACK) {
       return new VersionRule(null, version);
     }
-    return release.sequence.next() < release.exposure
+    double point = draws ? release.sequence.next() : release.sequence.peek();
+    return point < release.exposure
         ? new VersionRule(version, null)
         : new VersionRule(null, version);
   }
--- a/steering/src/main/java/verbenahatch/steering/TargetTable.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetTable.java
@@ -217,6 +217,11 @@
     return services.computeIfAbsent(name, n -> new ServiceTargets(n, maxRegionShift));
   }
 
+  /** Returns the targets of a service, null if it is unknown; creates nothing. */
+  @Nullable ServiceTargets find(String name) {
+    return services.get(name);
+  }
+
   synchronized @Nullable Target byId(String id) {
     return byId.get(id);
   }
--- a/steering/src/main/java/verbenahatch/steering/quota/Admission.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/Admission.java
@@ -197,6 +197,34 @@
     datagrams.runAfter(TIMEOUT_MILLIS, () -> finish(request.id, AdmissionAnswer.Verdict.NOT_HOME));
   }
 
+  /**
+   * Describes how {@link #admit} would decide now; counts and sends nothing.
+   *
+   * @param workspace the workspace
+   * @return what this host knows of its quota
+   */
+  public QuotaView view(SteeringWorkspace workspace) {
+    String name = workspace.name();
+    if (workspace.ratePerSecond() <= 0) {
+      return new QuotaView(QuotaView.DecidedBy.NOBODY, "", 0, 0, 0, 0);
+    }
+    if (fleet.isSmallFleet()) {
+      return localTable.view(name, false, "");
+    }
+    Member coordinator = coordinators.coordinator(name);
+    if (coordinator != null && coordinator.incarnation().equals(fleet.incarnation())) {
+      return coordinatorTable.view(name, true, coordinator.host());
+    }
+    boolean alone = coordinator == null || transport == null;
+    return new QuotaView(
+        alone ? QuotaView.DecidedBy.THIS_HOST_ALONE : QuotaView.DecidedBy.COORDINATOR,
+        coordinator == null ? "" : coordinator.host(),
+        0,
+        0,
+        grantedElsewhere(name, NO_COORDINATOR),
+        -1);
+  }
+
   private void sendRequest(PendingRequest pendingRequest, Transport datagrams) {
     String name = pendingRequest.workspace.name();
     AdmissionRequest request =
--- a/steering/src/main/java/verbenahatch/steering/quota/QuotaTable.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/QuotaTable.java
@@ -173,6 +173,32 @@
     return usage(workspace.name()).uncoordinated.tryAdd(allowance, now);
   }
 
+  /**
+   * Describes what this peer would admit of a workspace's requests now; counts nothing.
+   *
+   * @param workspace the name of the workspace
+   * @param coordinates whether this peer coordinates the workspace in a large fleet
+   * @param coordinator the name of this host as coordinator, empty in a small fleet
+   */
+  QuotaView view(String workspace, boolean coordinates, String coordinator) {
+    Usage usage = usages.get(workspace);
+    if (usage == null) {
+      return new QuotaView(QuotaView.DecidedBy.THIS_HOST, coordinator, 0, 0, 0, 0);
+    }
+    long now = clock.nanoTime();
+    Allocation allocation = usage.allocation;
+    double headroom = allocation.headroom - (coordinates ? usage.grantedByOthers(now) : 0);
+    double share = allocation.share * (coordinates ? 1 : usableFraction(now));
+    Allowance allowance = new Allowance(headroom, share, 0, allocation.recentMillis);
+    return new QuotaView(
+        QuotaView.DecidedBy.THIS_HOST,
+        coordinator,
+        headroom,
+        share,
+        usage.admitted.count(now),
+        usage.admitted.remaining(allowance, now));
+  }
+
   /** Returns the requests within the window that were admitted here by this peer's share. */
   int admittedHere(String workspace) {
     Usage usage = usages.get(workspace);
--- a/steering/src/main/java/verbenahatch/steering/quota/SlidingWindowCounter.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/SlidingWindowCounter.java
@@ -63,11 +63,7 @@
    */
   synchronized boolean tryAdd(Allowance allowance, long nowNanos) {
     advance(nowNanos);
-    long recentBuckets = TimeUnit.MILLISECONDS.toNanos(allowance.recentMillis) / bucketNanos;
-    int recent = 0;
-    for (int i = 0; i <= Math.min(BUCKETS, recentBuckets); i++) {
-      recent += counts[index(newestBucket - i)];
-    }
+    int recent = recent(allowance);
     double headroom = allowance.limit - (sum - recent);
     if (headroom <= 0 || recent + 1 > headroom * allowance.share + allowance.rounding) {
       return false;
@@ -77,6 +73,31 @@
     return true;
   }
 
+  /**
+   * Returns how many events {@link #tryAdd} would add at a time, and adds none.
+   *
+   * @param allowance the conditions
+   * @param nowNanos the monotonic time in nanoseconds
+   */
+  synchronized int remaining(Allowance allowance, long nowNanos) {
+    advance(nowNanos);
+    int recent = recent(allowance);
+    double headroom = allowance.limit - (sum - recent);
+    if (headroom <= 0) {
+      return 0;
+    }
+    return (int) Math.max(0, Math.floor(headroom * allowance.share + allowance.rounding) - recent);
+  }
+
+  private int recent(Allowance allowance) {
+    long recentBuckets = TimeUnit.MILLISECONDS.toNanos(allowance.recentMillis) / bucketNanos;
+    int recent = 0;
+    for (int i = 0; i <= Math.min(BUCKETS, recentBuckets); i++) {
+      recent += counts[index(newestBucket - i)];
+    }
+    return recent;
+  }
+
   private void advance(long nowNanos) {
     long bucket = Math.floorDiv(nowNanos, bucketNanos);
     if (newestBucket == Long.MIN_VALUE || bucket - newestBucket > BUCKETS) {
--- a/steering/src/test/java/verbenahatch/steering/DocumentIndexTest.java
+++ b/steering/src/test/java/verbenahatch/steering/DocumentIndexTest.java
@@ -43,7 +43,12 @@
     DocumentIndex index = new DocumentIndex(Samples.document(1, route));
     int count = 0;
     for (int i = 0; i < requests; i++) {
-      if (index.nextService(route).equals("x")) {
+      // A look at the next service must not draw it.
+      String peeked = index.peekService(route);
+      assertEquals(peeked, index.peekService(route));
+      String drawn = index.nextService(route);
+      assertEquals(peeked, drawn);
+      if (drawn.equals("x")) {
         count++;
       }
     }
--- a/steering/src/test/java/verbenahatch/steering/ReleaseTableTest.java
+++ b/steering/src/test/java/verbenahatch/steering/ReleaseTableTest.java
@@ -100,7 +100,10 @@
     table.put(order);
     int exposed = 0;
     for (int i = 0; i < 12 * PER_SECOND; i++) {
-      boolean isNew = "v2".equals(table.nextVersionRule("catalogue").required());
+      ReleaseTable.VersionRule peeked = table.peekVersionRule("catalogue");
+      ReleaseTable.VersionRule rule = table.nextVersionRule("catalogue");
+      assertEquals(peeked, rule, "a look at the next rule must not draw it");
+      boolean isNew = "v2".equals(rule.required());
       if (isNew) {
         exposed++;
       }
--- a/steering/src/test/java/verbenahatch/steering/quota/SlidingWindowCounterTest.java
+++ b/steering/src/test/java/verbenahatch/steering/quota/SlidingWindowCounterTest.java
@@ -41,6 +41,28 @@
     }
   }
 
+  /** A query of the quota must tell what is admitted next, and must not use it up. */
+  @ParameterizedTest
+  @CsvSource({"80, 0.25, 0", "30, 1, 0", "1, 0.5, 0.7", "0, 1, 0.9", "7.9, 1, 0"})
+  void remainingEventsAreAddedNext(double limit, double share, double rounding) {
+    SlidingWindowCounter counter = new SlidingWindowCounter(WINDOW_MILLIS);
+    Allowance allowance = new Allowance(limit, share, rounding, 800);
+    for (int i = 0; i < 5; i++) {
+      int remaining = counter.remaining(allowance, nanos(i * 500));
+      assertEquals(remaining, counter.remaining(allowance, nanos(i * 500)));
+      int added = 0;
+      while (added < remaining / 2 && counter.tryAdd(allowance, nanos(i * 500))) {
+        added++;
+      }
+      assertEquals(remaining - added, counter.remaining(allowance, nanos(i * 500)));
+    }
+    int remaining = counter.remaining(allowance, nanos(2_500));
+    for (int i = 0; i < remaining; i++) {
+      assertTrue(counter.tryAdd(allowance, nanos(2_500)));
+    }
+    assertFalse(counter.tryAdd(allowance, nanos(2_500)));
+  }
+
   @Test
   void eventsExpireAfterTheWindow() {
     SlidingWindowCounter counter = new SlidingWindowCounter(WINDOW_MILLIS);
