--- a/steering/src/main/java/verbenahatch/steering/quota/SlidingWindowCounter.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/SlidingWindowCounter.java
@@ -80,14 +80,35 @@
   /** Returns whether {@link #tryAdd} would add an event, without adding it. */
   synchronized boolean allows(Allowance allowance, long nowNanos) {
     advance(nowNanos);
+    int recent = recent(allowance);
+    double headroom = allowance.limit - (sum - recent);
+    double shared = (headroom + allowance.othersRecent) * allowance.share;
+    return headroom > 0 && recent + 1 <= Math.min(headroom, shared) + allowance.rounding;
+  }
+
+  /**
+   * Returns how many events {@link #tryAdd} would add at a time, and adds none.
+   *
+   * @param allowance the conditions
+   * @param nowNanos the monotonic time in nanoseconds
+   */
+  synchronized int remaining(Allowance allowance, long nowNanos) {
+    advance(nowNanos);
+    int recent = recent(allowance);
+    double headroom = allowance.limit - (sum - recent);
+    if (headroom <= 0) {
+      return 0;
+    }
+    return (int) Math.max(0, Math.floor(headroom * allowance.share + allowance.rounding) - recent);
+  }
+
+  private int recent(Allowance allowance) {
     long recentBuckets = TimeUnit.MILLISECONDS.toNanos(allowance.recentMillis) / bucketNanos;
     int recent = 0;
     for (int i = 0; i <= Math.min(BUCKETS, recentBuckets); i++) {
       recent += counts[index(newestBucket - i)];
     }
-    double headroom = allowance.limit - (sum - recent);
-    double shared = (headroom + allowance.othersRecent) * allowance.share;
-    return headroom > 0 && recent + 1 <= Math.min(headroom, shared) + allowance.rounding;
+    return recent;
   }
 
   private void advance(long nowNanos) {
