--- a/steering/src/main/java/verbenahatch/steering/RegionWeights.java
+++ b/steering/src/main/java/verbenahatch/steering/RegionWeights.java
@@ -74,6 +74,17 @@
     return position < 0 ? draw(usable, draws.next()) : rank(usable, position);
   }
 
+  /**
+   * Returns the region that {@link #select} would select for an object without a shift.
+   *
+   * @param usable the regions that can take the request
+   * @param position a number from 0 to 1 that identifies the object
+   * @return a usable region, null if none of them has a weight yet
+   */
+  synchronized @Nullable String peek(Set<String> usable, double position) {
+    return rank(usable, position);
+  }
+
   private void shift(String preferred, boolean recentLoss, long nowNanos) {
     double seconds = Math.max(0, (nowNanos - lastNanos) / 1e9);
     lastNanos = nowNanos;
--- a/steering/src/main/java/verbenahatch/steering/RequestPreview.java
+++ b/steering/src/main/java/verbenahatch/steering/RequestPreview.java
@@ -1,12 +1,18 @@
 package verbenahatch.steering;
 
 import java.util.ArrayList;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import verbenahatch.kernel.Hashing;
 import verbenahatch.steering.ReleaseTable.VersionRule;
+import verbenahatch.steering.TargetSelector.Choice;
+import verbenahatch.steering.TargetSelector.CostParts;
+import verbenahatch.steering.TargetSelector.Criteria;
+import verbenahatch.steering.TargetSelector.Preview;
 import verbenahatch.steering.model.SteeringDocument.RoutePart;
 import verbenahatch.steering.model.SteeringDocument.SteeringRoute;
 import verbenahatch.steering.model.SteeringDocument.SteeringWorkspace;
@@ -66,6 +72,7 @@
    * @param slowness the response time relative to the mean of the service
    * @param failureRate the share of recent failures, from 0 to 1
    * @param excluded why it would not get the request, null if it may
+   * @param estimate the estimated cost, null if it is excluded, full or passed over for its load
    */
   record Candidate(
       String id,
@@ -80,7 +87,37 @@
       boolean cold,
       boolean warm,
       long backOffMillis,
-      @Nullable TargetExclusion excluded) {}
+      @Nullable TargetExclusion excluded,
+      @Nullable Estimate estimate) {}
+
+  /**
+   * Holds the parts of the estimated cost of a target, in ms.
+   *
+   * @param firstRequest whether the target is due its first request, which makes work and waits
+   *     free
+   */
+  record Estimate(
+      long work,
+      long queueing,
+      long crowding,
+      long failures,
+      long distance,
+      long price,
+      long total,
+      boolean firstRequest) {
+
+    static Estimate of(CostParts parts) {
+      return new Estimate(
+          Math.round(parts.work()),
+          Math.round(parts.queueing()),
+          Math.round(parts.crowding()),
+          Math.round(parts.failures()),
+          Math.round(parts.distance()),
+          Math.round(parts.price()),
+          Math.round(parts.total()),
+          parts.due());
+    }
+  }
 
   /** Describes the response that the caller would get in place of one of a target. */
   record Refusal(String reason, int status, @Nullable String retryAfterSeconds, String detail) {}
@@ -90,6 +127,7 @@
    *
    * @param versionRule the versions that the next request would be allowed
    * @param callerRegion the region of the caller's zone
+   * @param choice the id of the target that would get the request, if it is admitted
    */
   record Result(
       String host,
@@ -101,6 +139,7 @@
       @Nullable QuotaView admission,
       @Nullable VersionRule versionRule,
       List<Candidate> candidates,
+      @Nullable String choice,
       @Nullable Refusal refusal) {}
 
   private final SteeringState state;
@@ -110,6 +149,8 @@
   private @Nullable QuotaView admission;
   private @Nullable VersionRule versionRule;
   private final List<Candidate> candidates = new ArrayList<>();
+  private @Nullable String choice;
+  private String noChoice = "no usable target";
 
   private RequestPreview(SteeringState state, Query query) {
     this.state = state;
@@ -140,6 +181,7 @@
         admission,
         versionRule,
         candidates,
+        choice,
         refusal);
   }
 
@@ -169,16 +211,14 @@
             route.parts(),
             service);
     Refusal notAdmitted = admit(index, route);
-    listCandidates(service, route);
+    listCandidates(index, service, route);
     if (notAdmitted != null) {
       return notAdmitted;
     }
     if (query.bodyBytes > index.document.limits().maxBodyBytes()) {
       return refusal(RefusalReason.BODY_TOO_LONG, "the document allows less");
     }
-    return candidates.stream().allMatch(candidate -> candidate.excluded() != null)
-        ? refusal(RefusalReason.NO_CAPACITY, "no usable target")
-        : null;
+    return choice == null ? refusal(RefusalReason.NO_CAPACITY, noChoice) : null;
   }
 
   private @Nullable Refusal admit(DocumentIndex index, SteeringRoute route) {
@@ -205,7 +245,7 @@
     return null;
   }
 
-  private void listCandidates(String service, SteeringRoute route) {
+  private void listCandidates(DocumentIndex index, String service, SteeringRoute route) {
     VersionRule rule = state.releases.peekVersionRule(service);
     versionRule = rule;
     ServiceTargets targets = state.targets.find(service);
@@ -215,25 +255,67 @@
     Set<String> allowedRegions = RequestPolicy.allowedRegions(route, workspace);
     long now = state.clock.nanoTime();
     long objectHash = Hashing.of(query.object + service);
+    Map<Target, TargetExclusion> exclusions = new IdentityHashMap<>();
+    List<Target> usable = new ArrayList<>();
     for (Target target : targets.targets) {
       boolean evacuated = state.targets.isEvacuated(target.record().zone());
       boolean owner = state.hosts.isWarmUpOwner(target.idHash, target.region);
-      candidates.add(
-          new Candidate(
-              target.record().id(),
-              target.region,
-              target.record().zone(),
-              target.record().version(),
-              target.record().slots(),
-              target.inFlight.get(),
-              target.load(now),
-              target.slowness(now),
-              target.failureRate(now),
-              target.isCold(now),
-              query.object != null && target.recentObjects.contains(objectHash),
-              target.backOffMillis(now),
-              TargetExclusion.of(target, evacuated, allowedRegions, rule, owner, now)));
+      TargetExclusion exclusion =
+          TargetExclusion.of(target, evacuated, allowedRegions, rule, owner, now);
+      if (exclusion == null) {
+        usable.add(target);
+      } else {
+        exclusions.put(target, exclusion);
+      }
     }
+    Criteria criteria =
+        new Criteria(
+            targets,
+            index.document.services().get(service),
+            targets.times(route.name()),
+            objectHash,
+            query.object != null,
+            state.settings.region(),
+            allowedRegions,
+            query.bodyBytes,
+            Set.of(),
+            rule,
+            route.targetLatencyMillis(),
+            RequestPolicy.maxLateWaitMillis(route, workspace));
+    Preview preview = state.selector.preview(criteria, usable);
+    if (preview.outcome() instanceof Choice chosen) {
+      choice = chosen.target().record().id();
+    } else {
+      noChoice = preview.outcome().toString().strip();
+    }
+    for (Target target : targets.targets) {
+      boolean warm = query.object != null && target.recentObjects.contains(objectHash);
+      CostParts costs = preview.costs().get(target);
+      candidates.add(candidate(target, exclusions.get(target), costs, warm, now));
+    }
+  }
+
+  private static Candidate candidate(
+      Target target,
+      @Nullable TargetExclusion exclusion,
+      @Nullable CostParts costs,
+      boolean warm,
+      long nowNanos) {
+    return new Candidate(
+        target.record().id(),
+        target.region,
+        target.record().zone(),
+        target.record().version(),
+        target.record().slots(),
+        target.inFlight.get(),
+        target.load(nowNanos),
+        target.slowness(nowNanos),
+        target.failureRate(nowNanos),
+        target.isCold(nowNanos),
+        warm,
+        target.backOffMillis(nowNanos),
+        exclusion,
+        costs == null ? null : Estimate.of(costs));
   }
 
   private Refusal refusal(RefusalReason reason, String detail) {
--- a/steering/src/main/java/verbenahatch/steering/Target.java
+++ b/steering/src/main/java/verbenahatch/steering/Target.java
@@ -195,6 +195,12 @@
     return bucket;
   }
 
+  /** Returns whether the warm-up bucket would allow a request; neither creates nor changes it. */
+  boolean wouldHaveWarmUpToken(long nowNanos) {
+    TokenBucket bucket = warmUpBucket;
+    return bucket == null || bucket.wouldHaveToken(nowNanos);
+  }
+
   /** Returns the estimated number of requests that run or wait at the target. */
   double load(long nowNanos) {
     double reportWeight = decay(nowNanos - reportNanos, REPORT_HALF_LIFE_MILLIS);
--- a/steering/src/main/java/verbenahatch/steering/TargetExclusion.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetExclusion.java
@@ -18,7 +18,7 @@
   OTHER_VERSION,
   /** It is tried with one request at a time after an ejection. */
   PROBING,
-  /** It is cold, and other hosts warm it up. */
+  /** It is cold, and other hosts warm it up or it tolerates no further request at present. */
   COLD,
   /** It asked this host for a pause. */
   PAUSED;
@@ -59,7 +59,8 @@
     if (target.isProbing() && target.inFlight.get() > 0) {
       return PROBING;
     }
-    if (target.isCold(nowNanos) && !warmUpOwner) {
+    boolean mayWarmUp = warmUpOwner && target.wouldHaveWarmUpToken(nowNanos);
+    if (target.isCold(nowNanos) && !mayWarmUp) {
       return COLD;
     }
     return target.backOffMillis(nowNanos) > 0 ? PAUSED : null;
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -2,6 +2,7 @@
 
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -128,6 +129,42 @@
     }
   }
 
+  /**
+   * Holds the parts of the estimated cost of a target, in ms.
+   *
+   * @param work the processing time
+   * @param queueing the wait for a slot
+   * @param crowding the cost of a nearly full target
+   * @param failures the cost of recent failures
+   * @param distance the cost of another region
+   * @param price the price of slot time
+   * @param due whether the target is due its first request, which makes work and waits free
+   */
+  record CostParts(
+      double work,
+      double queueing,
+      double crowding,
+      double failures,
+      double distance,
+      double price,
+      boolean due) {
+
+    double total() {
+      return due ? distance + price : work + queueing + crowding + failures + distance + price;
+    }
+  }
+
+  /**
+   * Holds the estimates for a request and its probable outcome.
+   *
+   * @param costs the cost of each target that has room, and is not passed over for its load
+   * @param outcome the probable choice, or none
+   */
+  record Preview(Map<Target, CostParts> costs, Outcome outcome) {}
+
+  /** Holds the best choice of each region, and the shortest wait at any target. */
+  private record RegionChoices(Map<String, Choice> best, double shortestWaitMillis) {}
+
   private final Clock clock;
   private final TargetTable table;
   private final HostTable hosts;
@@ -158,6 +195,53 @@
     if (usable.isEmpty() && shortestBackOff != Long.MAX_VALUE) {
       return new Outcome.None(Double.MAX_VALUE, shortestBackOff);
     }
+    RegionChoices choices = choicesByRegion(usable, criteria, now, null);
+    Map<String, Choice> byRegion = choices.best;
+    if (byRegion.isEmpty()) {
+      return new Outcome.None(choices.shortestWaitMillis, 0);
+    }
+    Choice best = paceRegions(byRegion, criteria, now);
+    if (best.waitMillis > maxWaitAt(best, criteria)) {
+      return new Outcome.None(best.waitMillis, 0);
+    }
+    if (best.target.isCold(now) && !takeWarmUpToken(best.target, criteria, now)) {
+      return new Outcome.None(Double.MAX_VALUE, 0);
+    }
+    return best;
+  }
+
+  /**
+   * Estimates all usable targets and the choice among them, without changing anything.
+   *
+   * <p>The choice may differ from that of the next request: the weights of regions are read as they
+   * are, and the region of a request that names no object would be drawn.
+   *
+   * @param criteria the criteria of the request; its targets are ignored
+   * @param usable the targets that the request may be sent to
+   */
+  Preview preview(Criteria criteria, List<Target> usable) {
+    long now = clock.nanoTime();
+    Map<Target, CostParts> costs = new IdentityHashMap<>();
+    RegionChoices choices = choicesByRegion(usable, criteria, now, costs);
+    Choice best = null;
+    for (Choice choice : choices.best.values()) {
+      best = best == null ? choice : cheaper(best, choice);
+    }
+    if (best != null && criteria.namesObject) {
+      double position = Hashing.toFraction(criteria.objectHash ^ REGION_SALT);
+      String region = criteria.service.regionWeights.peek(choices.best.keySet(), position);
+      best = region == null ? best : choices.best.getOrDefault(region, best);
+    }
+    if (best == null) {
+      return new Preview(costs, new Outcome.None(choices.shortestWaitMillis, 0));
+    }
+    boolean waitsTooLong = best.waitMillis > maxWaitAt(best, criteria);
+    return new Preview(costs, waitsTooLong ? new Outcome.None(best.waitMillis, 0) : best);
+  }
+
+  /** Returns the best choice of each region; also adds the cost of each target to a map, if any. */
+  private RegionChoices choicesByRegion(
+      List<Target> usable, Criteria criteria, long now, @Nullable Map<Target, CostParts> costs) {
     ObjectTargets preferred =
         new ObjectTargets(
             criteria.objectHash,
@@ -172,11 +256,15 @@
         continue;
       }
       double price = prices.getOrDefault(target.region, 0.0);
-      Choice choice =
-          estimate(target, cacheState(target, preferred, criteria), criteria, price, now);
-      if (choice == null) {
+      CacheState cacheState = cacheState(target, preferred, criteria);
+      CostParts parts = estimate(target, cacheState, criteria, price, now);
+      if (parts == null) {
         continue;
       }
+      if (costs != null) {
+        costs.put(target, parts);
+      }
+      Choice choice = new Choice(target, cacheState, parts.total(), parts.queueing, parts.work);
       shortestWait = Math.min(shortestWait, choice.waitMillis);
       // Under load a request must not leave a queue for a target where its object is cold: that
       // takes more slot time than it saves, and the overload continues.
@@ -184,17 +272,7 @@
         byRegion.merge(target.region, choice, TargetSelector::cheaper);
       }
     }
-    if (byRegion.isEmpty()) {
-      return new Outcome.None(shortestWait, 0);
-    }
-    Choice best = paceRegions(byRegion, criteria, now);
-    if (best.waitMillis > maxWaitAt(best, criteria)) {
-      return new Outcome.None(best.waitMillis, 0);
-    }
-    if (best.target.isCold(now) && !takeWarmUpToken(best.target, criteria, now)) {
-      return new Outcome.None(Double.MAX_VALUE, 0);
-    }
-    return best;
+    return new RegionChoices(byRegion, shortestWait);
   }
 
   private static double maxWaitAt(Choice choice, Criteria criteria) {
@@ -361,7 +439,7 @@
     return Math.max(1, criteria.definition.maxConnections() / hosts.fleetSize());
   }
 
-  private @Nullable Choice estimate(
+  private @Nullable CostParts estimate(
       Target target, CacheState cacheState, Criteria criteria, double slotPrice, long now) {
     int slots = target.slots();
     double load = target.load(now);
@@ -381,14 +459,15 @@
     double wait = queued / slots * queuedWork * target.slowness(now) * machineFactor;
     double utilization = Math.min(1, load / slots);
     double crowding = CROWDING_WEIGHT * warmMillis * Math.pow(utilization, 4);
-    double expected = work + wait + crowding + FAILURE_MILLIS * target.failureRate(now);
-    if (cacheState == CacheState.LIKELY_WARM && wait == 0 && isDueFirstRequest(target, now)) {
-      expected = 0;
-    }
-    if (!target.region.equals(criteria.region)) {
-      expected += REMOTE_REGION_MILLIS + criteria.bodyBytes / 1024.0 * REMOTE_KILOBYTE_MILLIS;
-    }
-    double price = expected == 0 ? 0 : slotPrice * work;
-    return new Choice(target, cacheState, expected + price, wait, work);
+    double failures = FAILURE_MILLIS * target.failureRate(now);
+    boolean due =
+        cacheState == CacheState.LIKELY_WARM && wait == 0 && isDueFirstRequest(target, now);
+    double distance =
+        target.region.equals(criteria.region)
+            ? 0
+            : REMOTE_REGION_MILLIS + criteria.bodyBytes / 1024.0 * REMOTE_KILOBYTE_MILLIS;
+    // A first request from another region pays for its slot time like any other.
+    double price = due && distance == 0 ? 0 : slotPrice * work;
+    return new CostParts(work, wait, crowding, failures, distance, price, due);
   }
 }
--- a/steering/src/main/java/verbenahatch/steering/TokenBucket.java
+++ b/steering/src/main/java/verbenahatch/steering/TokenBucket.java
@@ -45,6 +45,12 @@
     return tokens >= 1;
   }
 
+  /** Returns whether {@link #tryTake} would succeed, without a refill. */
+  synchronized boolean wouldHaveToken(long nowNanos) {
+    double seconds = Math.max(0, nowNanos - lastNanos) / NANOS_PER_SECOND;
+    return Math.min(burst, tokens + seconds * ratePerSecond) >= 1;
+  }
+
   private void refill(long nowNanos) {
     double seconds = Math.max(0, nowNanos - lastNanos) / NANOS_PER_SECOND;
     lastNanos = nowNanos;
