Split the reports of coordinators and the log of requests from large classes

RegionReportSender reports to other regions, RequestScope logs how a request ended. No change of behaviour; AdmissionTest and RequestScopeTest pass.

--- a/steering/src/main/java/verbenahatch/steering/EntryExchange.java
+++ b/steering/src/main/java/verbenahatch/steering/EntryExchange.java
@@ -481,24 +481,13 @@
 
   private void recordOutcome(int status, String outcome, String reason, boolean logged) {
     double millis = elapsedMillis();
-    context.metrics.requests.labelValues(outcome).inc();
-    context.metrics.requestSeconds.observe(millis / 1_000);
-    if (!logged) {
-      return;
+    context.metrics.recordRequest(outcome, millis);
+    if (logged) {
+      long remaining = scope.hasRoute() ? remainingMillis() : -1;
+      scope.logOutcome(
+          context.requestLog,
+          new RequestScope.Outcome(String.valueOf(caller.id()), outcome, status, reason),
+          new RequestScope.Effort(attempts, currentAttempt, Math.round(millis), remaining));
     }
-    TargetAttempt attempt = currentAttempt;
-    context.requestLog.log(
-        SteeringEvent.REQUEST,
-        String.valueOf(caller.id()),
-        scope.routeName(),
-        scope.workspaceName(),
-        outcome,
-        status,
-        attempts,
-        attempt == null ? "-" : attempt.choice.target().record().id(),
-        Math.round(millis),
-        scope.hasRoute() ? remainingMillis() : -1,
-        scope.documentVersion(),
-        reason);
   }
 }
--- a/steering/src/main/java/verbenahatch/steering/RequestScope.java
+++ b/steering/src/main/java/verbenahatch/steering/RequestScope.java
@@ -143,4 +143,46 @@
     DocumentIndex current = document;
     return current == null ? 0 : current.document.version();
   }
+
+  /**
+   * Holds how a request ended.
+   *
+   * @param id the caller's id of the request
+   * @param outcome the outcome as in the metrics
+   * @param status the status of the response, 0 if there was none
+   * @param reason the reason in words, may be empty
+   */
+  record Outcome(String id, String outcome, int status, String reason) {}
+
+  /**
+   * Holds what a request has cost.
+   *
+   * @param attempts the number of attempts
+   * @param lastAttempt the last attempt, null if there was none
+   * @param elapsedMillis the time in ms since its head was read
+   * @param remainingMillis the time in ms until its deadline, -1 if it has none
+   */
+  record Effort(
+      int attempts,
+      @Nullable TargetAttempt lastAttempt,
+      long elapsedMillis,
+      long remainingMillis) {}
+
+  /** Logs how the request ended. */
+  void logOutcome(RequestLog log, Outcome outcome, Effort effort) {
+    TargetAttempt attempt = effort.lastAttempt;
+    log.log(
+        SteeringEvent.REQUEST,
+        outcome.id,
+        routeName(),
+        workspaceName(),
+        outcome.outcome,
+        outcome.status,
+        effort.attempts,
+        attempt == null ? "-" : attempt.choice.target().record().id(),
+        effort.elapsedMillis,
+        effort.remainingMillis,
+        documentVersion(),
+        outcome.reason);
+  }
 }
--- a/steering/src/main/java/verbenahatch/steering/SteeringMetrics.java
+++ b/steering/src/main/java/verbenahatch/steering/SteeringMetrics.java
@@ -91,4 +91,10 @@
             .classicUpperBounds(.05, .1, .2, .4, .8, 1.6, 3.2, 6.4)
             .register(registry);
   }
+
+  /** Counts a request of a caller by its outcome, and the time in ms until its response. */
+  void recordRequest(String outcome, double millis) {
+    requests.labelValues(outcome).inc();
+    requestSeconds.observe(millis / 1_000);
+  }
 }
--- a/steering/src/main/java/verbenahatch/steering/quota/Admission.java
+++ b/steering/src/main/java/verbenahatch/steering/quota/Admission.java
@@ -9,7 +9,6 @@
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.Consumer;
 import org.jspecify.annotations.Nullable;
@@ -40,13 +39,6 @@
   /** Time after which a coordinator has timed out for a request. */
   private static final long TIMEOUT_MILLIS = 250;
 
-  /**
-   * Hosts of another region that reports are sent to in turn. One that restarts or is cut off loses
-   * every third report, fewer than let a region time out; each keeps what it forwards, in case it
-   * becomes the coordinator.
-   */
-  private static final int REPORT_RECEIVERS = 3;
-
   /**
    * Fraction of a region's hosts that may be lost at once without the assumption that other regions
    * lost as many, so that restarts of single hosts reserve no more than these hosts' shares.
@@ -137,7 +129,7 @@
   /** The monotonic time in nanoseconds since which the coordinator of a workspace is timed out. */
   private final Map<String, Long> timedOutSince = new ConcurrentHashMap<>();
 
-  private final AtomicInteger reportsSent = new AtomicInteger();
+  private final RegionReportSender regionReportSender;
   private volatile Set<String> coordinatedWorkspaces = Set.of();
   private volatile @Nullable Transport transport;
 
@@ -161,6 +153,7 @@
         new QuotaTable(
             clock, bounds, new HeartbeatReports(clock, fleet, bounds.quotaWindowMillis()));
     coordinatorTable = new QuotaTable(clock, bounds, regionReports);
+    regionReportSender = new RegionReportSender(fleet, coordinatorTable);
   }
 
   /**
@@ -446,46 +439,7 @@
     if (datagrams == null || own.isEmpty() || fleet.isSmallFleet()) {
       return;
     }
-    Map<Integer, RegionUse.Builder> byGroup = new HashMap<>();
-    Set<String> idle = new HashSet<>(own);
-    coordinatorTable.forEachUsage(
-        (name, perSecond, admitted, charged) -> {
-          if (idle.remove(name)) {
-            groupReport(byGroup, name).addDemands(demand(name, perSecond, charged));
-          }
-        });
-    // Workspaces without demand are reported too, because the coordinators of the other regions
-    // would otherwise reserve an even share for this region.
-    idle.forEach(
-        name ->
-            groupReport(byGroup, name)
-                .addDemands(demand(name, 0, coordinatorTable.reserved(name))));
-    int place = Math.floorMod(reportsSent.getAndIncrement(), REPORT_RECEIVERS);
-    for (String region : fleet.regions()) {
-      if (!region.equals(fleet.region())) {
-        sendGroupReports(datagrams, byGroup, place, fleet.hostsIn(region));
-      }
-    }
-  }
-
-  private RegionUse.Builder groupReport(Map<Integer, RegionUse.Builder> byGroup, String workspace) {
-    return byGroup.computeIfAbsent(
-        QuotaCoordinators.group(workspace),
-        group -> RegionUse.newBuilder().setRegion(fleet.region()));
-  }
-
-  private static void sendGroupReports(
-      Transport datagrams,
-      Map<Integer, RegionUse.Builder> byGroup,
-      int place,
-      Map<String, String> addresses) {
-    byGroup.forEach(
-        (group, report) -> {
-          String address = QuotaCoordinators.probableAddress(group, place, addresses);
-          if (address != null) {
-            datagrams.send(address, PeerDatagram.newBuilder().setRegionUse(report).build());
-          }
-        });
+    regionReportSender.send(own, datagrams);
   }
 
   /**
@@ -500,21 +454,15 @@
       coordinatorTable.forEachUsage(
           (name, perSecond, admitted, charged) -> {
             if (own.contains(name)) {
-              heartbeat.addDemands(demand(name, perSecond, admitted));
+              heartbeat.addDemands(RegionReportSender.demand(name, perSecond, admitted));
             }
           });
       return;
     }
     localTable.forEachUsage(
         (name, perSecond, admitted, charged) ->
-            heartbeat.addDemands(demand(name, perSecond, grantedElsewhere(name, NO_COORDINATOR))));
-  }
-
-  private static WorkspaceDemand demand(String workspace, double perSecond, int admitted) {
-    return WorkspaceDemand.newBuilder()
-        .setWorkspace(workspace)
-        .setPerSecond((float) perSecond)
-        .setAdmitted(admitted)
-        .build();
+            heartbeat.addDemands(
+                RegionReportSender.demand(
+                    name, perSecond, grantedElsewhere(name, NO_COORDINATOR))));
   }
 }
