--- a/steering/src/main/java/verbenahatch/steering/CacheState.java
+++ b/steering/src/main/java/verbenahatch/steering/CacheState.java
@@ -6,8 +6,6 @@
   WARM(0),
   /** The target is first in hash order for the object, so other hosts may have sent it there. */
   LIKELY_WARM(0.35),
-  /** The target is second in hash order, so other hosts send it the object under load. */
-  POSSIBLY_WARM(0.7),
   /** Nothing indicates that the target has the object. */
   COLD(1);
 
--- a/steering/src/main/java/verbenahatch/steering/RequestPreview.java
+++ b/steering/src/main/java/verbenahatch/steering/RequestPreview.java
@@ -72,7 +72,7 @@
    * @param slowness the response time relative to the mean of the service
    * @param failureRate the share of recent failures, from 0 to 1
    * @param excluded why it would not get the request, null if it may
-   * @param estimate the estimated cost, null if it is excluded, full or passed over for its load
+   * @param estimate the estimated cost, null if it is excluded or full
    */
   record Candidate(
       String id,
--- a/steering/src/main/java/verbenahatch/steering/TargetSelector.java
+++ b/steering/src/main/java/verbenahatch/steering/TargetSelector.java
@@ -157,7 +157,7 @@
   /**
    * Holds the estimates for a request and its probable outcome.
    *
-   * @param costs the cost of each target that has room, and is not passed over for its load
+   * @param costs the cost of each target that has room
    * @param outcome the probable choice, or none
    */
   record Preview(Map<Target, CostParts> costs, Outcome outcome) {}
@@ -243,18 +243,11 @@
   private RegionChoices choicesByRegion(
       List<Target> usable, Criteria criteria, long now, @Nullable Map<Target, CostParts> costs) {
     ObjectTargets preferred =
-        new ObjectTargets(
-            criteria.objectHash,
-            criteria.namesObject ? usable : List.of(),
-            hosts.isSmallFleet(),
-            now);
+        new ObjectTargets(criteria.objectHash, criteria.namesObject ? usable : List.of(), now);
     Map<String, Double> prices = slotPrices(usable, now);
     Map<String, Choice> byRegion = new HashMap<>();
     double shortestWait = Double.MAX_VALUE;
     for (Target target : usable) {
-      if (preferred.isOverloaded(target)) {
-        continue;
-      }
       double price = prices.getOrDefault(target.region, 0.0);
       CacheState cacheState = cacheState(target, preferred, criteria);
       CostParts parts = estimate(target, cacheState, criteria, price, now);
